--- /dev/null
+++ b/cmake/jujubetide.cmake
@@ -0,0 +1,51 @@
+include(Catch)
+
+add_library(jt_options INTERFACE)
+target_compile_options(jt_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+target_include_directories(jt_options INTERFACE
+    ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR}/src)
+target_link_libraries(jt_options INTERFACE absl::status absl::statusor absl::strings
+    absl::flat_hash_map absl::flat_hash_set absl::time)
+
+# jt_library(NAME LIBS...): one library from every source of src/NAME but its main.cc.
+function(jt_library name)
+    file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/${name}/*.cc)
+    list(FILTER sources EXCLUDE REGEX "/main\\.cc$")
+    if(sources)
+        add_library(jt_${name} STATIC ${sources})
+        target_link_libraries(jt_${name} PUBLIC jt_options ${ARGN})
+    else()
+        add_library(jt_${name} INTERFACE)
+        target_link_libraries(jt_${name} INTERFACE jt_options ${ARGN})
+    endif()
+endfunction()
+
+# jt_program(NAME SUBSYSTEM LIBS...): the program NAME from src/SUBSYSTEM/main.cc, where it exists.
+function(jt_program name subsystem)
+    if(EXISTS ${PROJECT_SOURCE_DIR}/src/${subsystem}/main.cc)
+        add_executable(${name} ${PROJECT_SOURCE_DIR}/src/${subsystem}/main.cc)
+        target_link_libraries(${name} PRIVATE jt_${subsystem} ${ARGN})
+        set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
+    endif()
+endfunction()
+
+# jt_test(NAME LIBS...): the test program NAME_test from every *_test.cc of tests/NAME; each test
+# case is one ctest test.
+function(jt_test name)
+    file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/${name}/*.cc)
+    if(NOT sources)
+        return()
+    endif()
+    add_executable(${name}_test ${sources})
+    target_link_libraries(${name}_test PRIVATE jt_test_main ${ARGN})
+    catch_discover_tests(${name}_test TEST_PREFIX "${name}: " PROPERTIES TIMEOUT 240)
+endfunction()
+
+# jt_bench(NAME LIBS...): the measurement program NAME from bench/NAME.cc, where it exists.
+function(jt_bench name)
+    if(EXISTS ${PROJECT_SOURCE_DIR}/bench/${name}.cc)
+        add_executable(${name} ${PROJECT_SOURCE_DIR}/bench/${name}.cc)
+        target_link_libraries(${name} PRIVATE ${ARGN})
+        set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
+    endif()
+endfunction()
--- /dev/null
+++ b/include/jujubetide/backend/plain_client.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "jujubetide/base/endpoint.h"
+#include "jujubetide/base/ids.h"
+#include "jujubetide/base/units.h"
+
+#include <string>
+
+namespace jujubetide {
+
+/// One call to a plain service.
+struct plain_request {
+    attempt_id attempt;
+    request_id request;
+    std::string method;
+    /// Path and query below the service's own root, beginning with '/'.
+    std::string target;
+    std::string content_type;
+    std::string body;
+    millis time_left{0};
+};
+
+enum class plain_outcome {
+    /// An answer came, whatever its status.
+    answered,
+    /// The call certainly had no effect: no connection, or the server said that it did not run it.
+    not_run,
+    /// The call may have been run and its answer lost.
+    unknown,
+};
+
+struct plain_result {
+    plain_outcome outcome = plain_outcome::unknown;
+    int status = 0;
+    std::string content_type;
+    std::string body;
+    std::string error;
+};
+
+/// The calls to plain services. Thread-safe; calls block.
+class plain_client {
+public:
+    virtual ~plain_client() = default;
+    [[nodiscard]] plain_result call(const endpoint& server, const plain_request& request) {
+        return do_call(server, request);
+    }
+
+protected:
+    plain_client() = default;
+    plain_client(const plain_client&) = default;
+    plain_client& operator=(const plain_client&) = default;
+    virtual plain_result do_call(const endpoint& server, const plain_request& request) = 0;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/include/jujubetide/http/http_server.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "jujubetide/base/endpoint.h"
+#include "jujubetide/base/units.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace httplib {
+class Server; // NOLINT(readability-identifier-naming)
+} // namespace httplib
+
+namespace jujubetide {
+
+struct http_server_options {
+    /// Port 0 takes a free port.
+    endpoint listen{"127.0.0.1", 0};
+    /// Threads that answer; each open connection and each stream holds one.
+    std::size_t threads = 64;
+    std::size_t max_body_bytes = 1U << 20U;
+    /// How long a client may take to send its request.
+    millis read_timeout{5'000};
+    /// How long an idle connection stays open.
+    millis keep_alive{5'000};
+};
+
+/// An HTTP server on its own threads.
+class http_server {
+public:
+    /// Binds the address and lets `add_routes` register the handlers, then begins to answer.
+    static absl::StatusOr<std::unique_ptr<http_server>>
+    make(const http_server_options& options,
+         const std::function<void(httplib::Server&)>& add_routes);
+
+    /// Stops and waits for running handlers.
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// The address, with the real port.
+    [[nodiscard]] const endpoint& address() const;
+    /// Closes the listening socket and waits for running handlers.
+    void stop();
+
+private:
+    struct implementation;
+    explicit http_server(std::unique_ptr<implementation> parts);
+    std::unique_ptr<implementation> parts_;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/tests/support/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
