--- a/cmake/jujubetide.cmake
+++ b/cmake/jujubetide.cmake
@@ -2,6 +2,10 @@
 
 add_library(jt_options INTERFACE)
 target_compile_options(jt_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+if(JUJUBETIDE_SANITIZE)
+    # GCC reports false positives in libstdc++ once the sanitizers' checks are compiled in.
+    target_compile_options(jt_options INTERFACE -Wno-maybe-uninitialized)
+endif()
 target_include_directories(jt_options INTERFACE
     ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR}/src)
 target_link_libraries(jt_options INTERFACE absl::status absl::statusor absl::strings
