Add stand-ins for engines and plain services, and the clients for them

The engine stand-in answers with text that depends only on the prompt and the offset, so that a test can check a resumed answer as a whole; its faults are planned for a number of calls and switched by method or POST /faults. The clients report not_run only for a failed connection or a 503 problem with that outcome. httplib reads an answer on the calling thread without a wait that can be limited; a short read timeout was ruled out since it ends the answer.

--- /dev/null
+++ b/tests/backend/http_engine_client_test.cc
@@ -0,0 +1,229 @@
+#include "standins/standin_engine.h"
+#include "support/eventually.h"
+
+#include "jujubetide/backend/http_engine_client.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace jujubetide;
+
+namespace {
+
+std::unique_ptr<standin_engine> make_engine(const standin_engine_options& options = {}) {
+    auto engine = standin_engine::make(options);
+    REQUIRE(engine.ok());
+    return *std::move(engine);
+}
+
+engine_request make_request(const std::string& attempt, std::uint32_t pieces = 8) {
+    engine_request request;
+    request.attempt = attempt_id(attempt);
+    request.request = request_id("r-" + attempt);
+    request.prompt = "why is the freezer warm";
+    request.max_pieces = pieces;
+    request.time_left = millis{60'000};
+    return request;
+}
+
+/// Keeps the pieces; stops after a number of pieces or of idle calls.
+class collecting_receiver final : public engine_receiver {
+public:
+    std::vector<engine_piece> pieces;
+    std::size_t stop_after_pieces = SIZE_MAX;
+    int stop_after_idle = 1'000;
+
+    [[nodiscard]] std::string text() const {
+        std::string joined;
+        for (const engine_piece& piece : pieces) {
+            joined += piece.text;
+        }
+        return joined;
+    }
+
+protected:
+    bool do_on_piece(const engine_piece& piece) override {
+        pieces.push_back(piece);
+        return pieces.size() < stop_after_pieces;
+    }
+    bool do_on_idle() override { return --stop_after_idle > 0; }
+};
+
+std::vector<std::uint32_t> offsets_of(const collecting_receiver& receiver) {
+    std::vector<std::uint32_t> offsets;
+    for (const engine_piece& piece : receiver.pieces) {
+        offsets.push_back(piece.offset.value());
+    }
+    return offsets;
+}
+
+} // namespace
+
+TEST_CASE("an answer is whole, and a resumed one continues it on another engine") {
+    const auto first = make_engine();
+    const auto second = make_engine();
+    http_engine_client client;
+    collecting_receiver begin;
+    begin.stop_after_pieces = 3;
+    const engine_request request = make_request("a1");
+    CHECK(client.run(first->address(), request, begin).outcome == engine_outcome::cancelled);
+    CHECK(first->counters().cancelled_attempts.count("a1") == 1);
+
+    engine_request resumed = make_request("a2");
+    resumed.start = piece_offset(3);
+    resumed.generated = begin.text();
+    collecting_receiver rest;
+    const engine_result result = client.run(second->address(), resumed, rest);
+    REQUIRE(result.outcome == engine_outcome::completed);
+    CHECK(result.total == piece_offset(8));
+    CHECK(result.finish_reason == "length");
+    CHECK(begin.text() + rest.text() == standin_answer(request.prompt, 8));
+    CHECK(rest.pieces.front().attempt == attempt_id("a2"));
+    CHECK(second->counters().executions_by_request.at("r-a2") == 1);
+}
+
+TEST_CASE("only an engine that was not reached or says so did not run") {
+    const auto engine = make_engine();
+    http_engine_client client;
+    collecting_receiver receiver;
+    engine->set_fault(engine_fault::refuse_not_run);
+    CHECK(client.run(engine->address(), make_request("a1"), receiver).outcome ==
+          engine_outcome::not_run);
+    engine->set_fault(engine_fault::fail_before_run);
+    const auto failed = client.run(engine->address(), make_request("a2"), receiver);
+    CHECK(failed.outcome == engine_outcome::interrupted);
+    CHECK(failed.error == "the engine answered 500");
+    CHECK(engine->counters().executions_by_attempt.empty());
+
+    endpoint closed;
+    { closed = make_engine()->address(); }
+    CHECK(client.run(closed, make_request("a3"), receiver).outcome == engine_outcome::not_run);
+    CHECK(receiver.pieces.empty());
+}
+
+TEST_CASE("an answer without its end mark is interrupted") {
+    const auto engine = make_engine();
+    http_engine_client client;
+    for (const engine_fault fault : {engine_fault::end_early, engine_fault::tear_piece}) {
+        collecting_receiver receiver;
+        engine->set_fault(fault, {1, 3});
+        const std::string attempt = fault == engine_fault::end_early ? "early" : "torn";
+        CHECK(client.run(engine->address(), make_request(attempt), receiver).outcome ==
+              engine_outcome::interrupted);
+        CHECK(receiver.pieces.size() == 3);
+    }
+}
+
+TEST_CASE("pieces reach the receiver as the engine sent them") {
+    const auto engine = make_engine();
+    http_engine_client client;
+    const auto run_with = [&](engine_fault fault) {
+        collecting_receiver receiver;
+        engine->set_fault(fault, {1, 1});
+        CHECK(client.run(engine->address(), make_request("a", 4), receiver).outcome ==
+              engine_outcome::completed);
+        return receiver;
+    };
+    CHECK(offsets_of(run_with(engine_fault::repeat_piece)) ==
+          std::vector<std::uint32_t>{0, 1, 1, 2, 3});
+    CHECK(offsets_of(run_with(engine_fault::cross_pieces)) ==
+          std::vector<std::uint32_t>{0, 2, 1, 3});
+    CHECK(offsets_of(run_with(engine_fault::skip_piece)) == std::vector<std::uint32_t>{0, 2, 3});
+    const auto wrong = run_with(engine_fault::wrong_attempt);
+    CHECK(wrong.pieces[0].attempt == attempt_id("a"));
+    CHECK(wrong.pieces[1].attempt != attempt_id("a"));
+}
+
+TEST_CASE("the receiver can stop a stalled stream, also before its first byte") {
+    const auto engine = make_engine();
+    http_engine_client client;
+    for (const std::size_t at_piece : {std::size_t{0}, std::size_t{2}}) {
+        collecting_receiver receiver;
+        receiver.stop_after_idle = 3;
+        engine->set_fault(engine_fault::stall, {1, at_piece});
+        const std::string attempt = "stalled-" + std::to_string(at_piece);
+        CHECK(client.run(engine->address(), make_request(attempt), receiver).outcome ==
+              engine_outcome::cancelled);
+        CHECK(receiver.pieces.size() == at_piece);
+        CHECK(eventually([&] { return engine->running() == 0; }));
+    }
+}
+
+TEST_CASE("an engine runs the urgent first and reports its load") {
+    standin_engine_options options;
+    options.max_running = 1;
+    options.version = version_id("v1");
+    const auto engine = make_engine(options);
+    engine->set_fault(engine_fault::stall, {1, 0});
+    http_engine_client client;
+    const auto run = [&client, &engine](const std::string& attempt, int priority) {
+        return std::thread([&client, &engine, attempt, priority] {
+            engine_request request = make_request(attempt);
+            request.priority = priority;
+            collecting_receiver receiver;
+            receiver.stop_after_idle = 1'000'000;
+            (void)client.run(engine->address(), request, receiver);
+        });
+    };
+    std::thread first = run("first", 0);
+    REQUIRE(eventually([&] { return engine->running() == 1; }));
+    std::thread low = run("low", 1);
+    REQUIRE(eventually([&] { return engine->waiting() == 1; }));
+    std::thread high = run("high", 2);
+    REQUIRE(eventually([&] { return engine->waiting() == 2; }));
+    const auto load = client.load(engine->address());
+    REQUIRE(load.ok());
+    CHECK(load->running == 1);
+    CHECK(load->waiting == 2);
+    CHECK(load->max_running == 1);
+    CHECK(load->version == version_id("v1"));
+    CHECK(load->sequence < client.load(engine->address())->sequence);
+
+    engine->set_fault(engine_fault::stall, {1, 0});
+    REQUIRE(client.cancel(engine->address(), attempt_id("first")).ok());
+    REQUIRE(eventually([&] { return engine->waiting() == 1 && engine->running() == 1; }));
+    REQUIRE(client.cancel(engine->address(), attempt_id("high")).ok());
+    for (std::thread* thread : {&first, &low, &high}) {
+        thread->join();
+    }
+    CHECK(engine->counters().most_running == 1);
+}
+
+TEST_CASE("cache events name the prefixes that an engine keeps") {
+    standin_engine_options options;
+    options.cache_blocks = 2;
+    const auto engine = make_engine(options);
+    http_engine_client client;
+    engine_request request = make_request("a");
+    request.prompt = std::string(600, 'x');
+    collecting_receiver receiver;
+    CHECK(client.run(engine->address(), request, receiver).cached_tokens == token_count(0));
+    CHECK(client.run(engine->address(), request, receiver).cached_tokens == token_count(128));
+    CHECK(client.cache_events(engine->address(), sequence_number(0))->size() == 2);
+    request.prompt = std::string(300, 'y');
+    (void)client.run(engine->address(), request, receiver);
+    const auto events = client.cache_events(engine->address(), sequence_number(2));
+    REQUIRE(events.ok());
+    REQUIRE(events->size() == 2);
+    CHECK((*events)[0].stored);
+    CHECK_FALSE((*events)[1].stored);
+}
+
+TEST_CASE("orders with an old fencing number have effect only at engines that ignore it") {
+    standin_engine_options ignoring;
+    ignoring.checks_fencing = false;
+    const auto checking_engine = make_engine();
+    const auto ignoring_engine = make_engine(ignoring);
+    http_engine_client client;
+    const engine_order newer{lease_id("l"), fencing_number(2), version_id("v2"), {}};
+    const engine_order older{lease_id("l"), fencing_number(1), version_id("v1"), {}};
+    for (const auto* engine : {&checking_engine, &ignoring_engine}) {
+        REQUIRE(client.order((*engine)->address(), newer).ok());
+    }
+    CHECK(client.order(checking_engine->address(), older).code() ==
+          absl::StatusCode::kFailedPrecondition);
+    CHECK(checking_engine->version() == version_id("v2"));
+    CHECK(client.order(ignoring_engine->address(), older).ok());
+    CHECK(ignoring_engine->version() == version_id("v1"));
+}
--- /dev/null
+++ b/tests/backend/http_plain_client_test.cc
@@ -0,0 +1,61 @@
+#include "standins/standin_plain_service.h"
+
+#include "jujubetide/backend/http_plain_client.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+namespace {
+
+std::unique_ptr<standin_plain_service> make_service() {
+    auto service = standin_plain_service::make({});
+    REQUIRE(service.ok());
+    return *std::move(service);
+}
+
+plain_request make_request(const std::string& id) {
+    return {attempt_id("a-" + id), request_id(id),     "POST",
+            "/dispatch?shop=3",    "application/json", R"({"booking": "b-)" + id + "\"}",
+            millis{60'000}};
+}
+
+} // namespace
+
+TEST_CASE("a plain call arrives whole and once") {
+    const auto service = make_service();
+    http_plain_client client;
+    const plain_result result = client.call(service->address(), make_request("r1"));
+    REQUIRE(result.outcome == plain_outcome::answered);
+    CHECK(result.status == 200);
+    CHECK(result.content_type == "application/json");
+    CHECK(result.body.find("/dispatch?shop=3") != std::string::npos);
+    CHECK(service->executions_of_request("r1") == 1);
+    CHECK(service->executions_of_booking("b-r1") == 1);
+}
+
+TEST_CASE("a plain call did not run only when that is certain") {
+    const auto service = make_service();
+    http_plain_client client;
+    const auto outcome_with = [&](plain_fault fault, const std::string& id) {
+        service->set_fault(fault);
+        return client.call(service->address(), make_request(id)).outcome;
+    };
+    CHECK(outcome_with(plain_fault::refuse_not_run, "r1") == plain_outcome::not_run);
+    CHECK(outcome_with(plain_fault::fail, "r2") == plain_outcome::answered);
+    CHECK(outcome_with(plain_fault::close_before_run, "r3") == plain_outcome::unknown);
+    CHECK(service->executions() == 0);
+    CHECK(outcome_with(plain_fault::drop_reply, "r4") == plain_outcome::unknown);
+    CHECK(service->executions_of_booking("b-r4") == 1);
+
+    service->set_delay(millis{2'000});
+    plain_request hurried = make_request("r5");
+    hurried.time_left = millis{50};
+    CHECK(client.call(service->address(), hurried).outcome == plain_outcome::unknown);
+    hurried.time_left = millis{0};
+    CHECK(client.call(service->address(), hurried).outcome == plain_outcome::not_run);
+
+    endpoint closed;
+    { closed = make_service()->address(); }
+    CHECK(client.call(closed, make_request("r6")).outcome == plain_outcome::not_run);
+}
