Add leases in the table and orders to engines under them

A lease holder may be frozen, cut off from the table or misled by a lost reply. The decisions are in lease_state, without I/O: the lease counts from the sending of the last successful write, less a margin, and another process takes over only after it has seen one row version for the whole duration on its own clock, so that no clocks are compared (an expiry time in the row was ruled out for that). A lost reply is settled by the write's name in the row. Orders ask for a permit immediately before they leave and only while the longest order still fits into the lease; servers that do not check fencing numbers are ordered after a further longest order and then each period.

--- /dev/null
+++ b/src/lease/lease_state.cc
@@ -0,0 +1,145 @@
+// A lost reply is settled by the write's name in the row: the lease then counts from the moment at
+// which that very write was sent. A write that shows up without a known sending time only updates
+// the version and never lengthens the lease.
+#include "jujubetide/lease/lease_state.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubetide {
+namespace {
+
+/// Lost writes that are remembered; older ones can no longer lengthen the lease.
+constexpr std::size_t max_unknown_writes = 16;
+/// The fencing number of a lease that nobody held before.
+constexpr fencing_number first_fencing{1};
+
+} // namespace
+
+void lease_state::observe(const std::optional<lease_row>& row, time_point read_end) {
+    const row_version version = row ? row->version : row_version();
+    const bool changed = !seen_ || seen_->version != version;
+    needs_read_ = false;
+    if (changed) {
+        seen_ = row.value_or(lease_row{});
+        seen_since_ = read_end;
+    }
+    const lease_record& record = seen_->record;
+    const auto applied = std::find_if(
+        unknown_writes_.begin(), unknown_writes_.end(),
+        [&record](const lease_write& write) { return write.record.write == record.write; });
+    if (applied != unknown_writes_.end()) {
+        write_applied(lease_write(*applied), version, read_end);
+    } else if (holds_ && (!is_own(record) || record.fencing != fencing_)) {
+        holds_ = false;
+    }
+}
+
+std::optional<lease_write> lease_state::next_write(time_point now) {
+    if (needs_read_) {
+        return std::nullopt;
+    }
+    const lease_record& record = seen_->record;
+    if (holds_) {
+        return make_write(options_.holder, fencing_, now);
+    }
+    const millis lasts = std::max(record.duration, options_.duration);
+    if (!record.holder.empty() && now < seen_since_ + lasts) {
+        return std::nullopt;
+    }
+    lease_write write = make_write(options_.holder, record.fencing.next(), now);
+    write.takes = true;
+    return write;
+}
+
+void lease_state::write_applied(const lease_write& write, row_version version, time_point now) {
+    seen_ = lease_row{write.record, version};
+    seen_since_ = now;
+    unknown_writes_.clear();
+    holds_ = true;
+    fencing_ = write.record.fencing;
+    if (write.takes) {
+        taken_ = now;
+        safe_until_ = {};
+    }
+    safe_until_ = std::max(safe_until_, write.sent + options_.duration - options_.margin);
+}
+
+void lease_state::write_unknown(const lease_write& write) {
+    needs_read_ = true;
+    if (unknown_writes_.size() == max_unknown_writes) {
+        unknown_writes_.erase(unknown_writes_.begin());
+    }
+    unknown_writes_.push_back(write);
+}
+
+std::optional<lease_write> lease_state::release(time_point now) {
+    const bool known = holds_ && !needs_read_;
+    lost();
+    if (!known) {
+        return std::nullopt;
+    }
+    return make_write("", fencing_, now);
+}
+
+void lease_state::lost() {
+    holds_ = false;
+    needs_read_ = true;
+    unknown_writes_.clear();
+}
+
+micros lease_state::remaining(time_point now) const {
+    return holds_ ? std::max(micros{0}, safe_until_ - now) : micros{0};
+}
+
+absl::StatusOr<fencing_number> lease_state::permit_order(time_point now,
+                                                         bool server_checks_fencing) const {
+    if (remaining(now) < options_.longest_order) {
+        return absl::FailedPreconditionError(
+            absl::StrCat("lease ", options_.lease.str(), " is not held long enough"));
+    }
+    if (!server_checks_fencing && fencing_ != first_fencing &&
+        now < taken_ + options_.longest_order) {
+        return absl::UnavailableError(absl::StrCat("an order of the former holder of lease ",
+                                                   options_.lease.str(), " may be under way"));
+    }
+    return fencing_;
+}
+
+lease_write lease_state::make_write(std::string holder, fencing_number fencing, time_point now) {
+    lease_write write;
+    write.record = {std::move(holder), absl::StrCat(options_.holder, "#", ++write_count_), fencing,
+                    options_.duration};
+    write.expected = seen_->version;
+    write.sent = now;
+    return write;
+}
+
+bool lease_state::is_own(const lease_record& record) const {
+    return record.holder == options_.holder;
+}
+
+std::string to_text(const lease_record& record) {
+    return nlohmann::json{{"holder", record.holder},
+                          {"write", record.write},
+                          {"fencing", record.fencing.value()},
+                          {"duration_ms", record.duration.count()}}
+        .dump();
+}
+
+absl::StatusOr<lease_record> parse_lease_record(const std::string& text) {
+    try {
+        const auto body = nlohmann::json::parse(text);
+        return lease_record{body.at("holder").get<std::string>(),
+                            body.at("write").get<std::string>(),
+                            fencing_number(body.at("fencing").get<std::uint64_t>()),
+                            millis{body.at("duration_ms").get<std::int64_t>()}};
+    } catch (const nlohmann::json::exception& error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+} // namespace jujubetide
--- /dev/null
+++ b/tests/support/faulty_table.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "jujubetide/platform/table.h"
+
+#include <functional>
+
+namespace jujubetide {
+
+/// A table whose calls fail as a test says. Not thread-safe.
+class faulty_table final : public table {
+public:
+    explicit faulty_table(table& wrapped) : wrapped_(wrapped) {}
+
+    /// Every call is refused; nothing is applied.
+    bool down = false;
+    /// The replies of so many further commits are lost after they took effect.
+    int lost_commit_replies = 0;
+    /// Runs before each commit.
+    std::function<void()> before_commit = [] {};
+
+protected:
+    absl::StatusOr<std::optional<table_row>> do_get(const std::string& key) override {
+        if (down) {
+            return absl::UnavailableError("down");
+        }
+        return wrapped_.get(key);
+    }
+    absl::StatusOr<std::vector<table_row>>
+    do_scan(const std::string& prefix, const std::string& after, std::size_t limit) override {
+        if (down) {
+            return absl::UnavailableError("down");
+        }
+        return wrapped_.scan(prefix, after, limit);
+    }
+    absl::StatusOr<row_version> do_commit(const table_transaction& transaction) override {
+        const auto hook = before_commit; // A copy, since the hook may replace itself.
+        hook();
+        if (down) {
+            return absl::UnavailableError("down");
+        }
+        auto version = wrapped_.commit(transaction);
+        if (version.ok() && lost_commit_replies > 0) {
+            --lost_commit_replies;
+            return absl::DeadlineExceededError("the reply was lost");
+        }
+        return version;
+    }
+
+private:
+    table& wrapped_;
+};
+
+} // namespace jujubetide
