--- a/src/lease/lease_keeper.cc
+++ b/src/lease/lease_keeper.cc
@@ -25,7 +25,7 @@
 absl::Status lease_keeper::step() {
     const std::lock_guard step_lock(step_mutex_);
     const bool held_before = held();
-    if (const absl::Status status = read(); !status.ok()) {
+    if (absl::Status status = read(); !status.ok()) {
         return status;
     }
     std::optional<lease_write> next;
--- a/src/lease/order_sender.cc
+++ b/src/lease/order_sender.cc
@@ -32,7 +32,7 @@
         return {wanted.id, order_outcome::withheld, permit.status()};
     }
     if (needs_order(wanted, *permit)) {
-        const absl::Status sent = send(wanted, *permit);
+        absl::Status sent = send(wanted, *permit);
         if (absl::IsFailedPrecondition(sent)) {
             lease_.lost();
             return {wanted.id, order_outcome::withheld, sent};
@@ -53,7 +53,7 @@
 
 absl::Status order_sender::send(const desired_engine_state& wanted, fencing_number fencing) {
     const engine_order order{lease_.lease(), fencing, wanted.version, wanted.role};
-    const absl::Status sent = engines_.order(wanted.address, order);
+    absl::Status sent = engines_.order(wanted.address, order);
     if (!sent.ok()) {
         log_.write(lease_events::order_failed,
                    {{"server", wanted.id.str()}, {"error", std::string(sent.message())}});
--- a/tests/support/faulty_table.h
+++ b/tests/support/faulty_table.h
@@ -3,6 +3,8 @@
 #include "jujubetide/platform/table.h"
 
 #include <functional>
+#include <utility>
+#include <vector>
 
 namespace jujubetide {
 
@@ -15,9 +17,17 @@
     bool down = false;
     /// The replies of so many further commits are lost after they took effect.
     int lost_commit_replies = 0;
+    /// So many further commits get no reply and wait until `deliver_late_commits`.
+    int late_commits = 0;
     /// Runs before each commit.
     std::function<void()> before_commit = [] {};
 
+    void deliver_late_commits() {
+        for (const table_transaction& transaction : std::exchange(late_, {})) {
+            (void)wrapped_.commit(transaction);
+        }
+    }
+
 protected:
     absl::StatusOr<std::optional<table_row>> do_get(const std::string& key) override {
         if (down) {
@@ -38,6 +48,11 @@
         if (down) {
             return absl::UnavailableError("down");
         }
+        if (late_commits > 0) {
+            --late_commits;
+            late_.push_back(transaction);
+            return absl::DeadlineExceededError("the commit is late");
+        }
         auto version = wrapped_.commit(transaction);
         if (version.ok() && lost_commit_replies > 0) {
             --lost_commit_replies;
@@ -48,6 +63,7 @@
 
 private:
     table& wrapped_;
+    std::vector<table_transaction> late_;
 };
 
 } // namespace jujubetide
