--- a/include/jujubetide/settings/process_settings.h
+++ b/include/jujubetide/settings/process_settings.h
@@ -35,6 +35,9 @@
     millis entries_lifetime{30'000};
     /// How often the table is read for newer settings, before jitter.
     millis settings_poll{30'000};
+    /// Control only: SHA-256 of a key that may change settings while no operator is declared, in
+    /// lower-case hex; empty for none.
+    std::string bootstrap_operator_key_sha256;
 };
 
 /// Reads and checks a process's YAML file; unknown fields are refused. InvalidArgument with all
--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -50,9 +50,8 @@
         return std::optional<table_row>(found->second);
     }
 
-    absl::StatusOr<std::vector<table_row>> do_scan(const std::string& prefix,
-                                                   const std::string& after,
-                                                   std::size_t limit) override {
+    absl::StatusOr<std::vector<table_row>>
+    do_scan(const std::string& prefix, const std::string& after, std::size_t limit) override {
         const std::lock_guard lock(mutex_);
         if (down_) {
             return absl::UnavailableError("table is down");
@@ -76,7 +75,8 @@
         }
         for (const row_condition& condition : transaction.conditions) {
             const auto found = rows_.find(condition.key);
-            const row_version version = found == rows_.end() ? row_version{} : found->second.version;
+            const row_version version =
+                found == rows_.end() ? row_version{} : found->second.version;
             if (version != condition.version) {
                 return absl::AbortedError("condition on " + condition.key + " does not hold");
             }
