Keep settings in the table, with audit trail, history and a peer codec

An accepted change must never revert or be told as a conflict, whatever the table does. Every commit is conditioned on the head row and on the absence of the change's own row, so one of several racing operators wins and a late or repeated commit does nothing. A lost reply is settled by the change's row; as reads may lag, a conflict is only told after a transaction has found the row absent. The head holds a digest of all documents: reading the head twice, as first planned, does not find documents that lag behind it.

--- a/include/jujubetide/settings/settings_store.h
+++ b/include/jujubetide/settings/settings_store.h
@@ -36,8 +36,12 @@
     /// Checks the change against `current` and writes it in one transaction with its audit record.
     /// InvalidArgument: the findings; PermissionDenied: names the path outside of the author's
     /// subtrees; Aborted: another change came first, and the message shows both sides. A repeated
-    /// submission of an accepted change returns the snapshot that holds it.
+    /// submission of an accepted change returns the snapshot that holds it. DeadlineExceeded: the
+    /// change may have been accepted; submit it again with the same id. While no operator is
+    /// declared, every author may write every path: the caller decides who may submit then.
     absl::StatusOr<snapshot_ptr> apply(const settings_change& change);
+    /// The revision that the change made, or nothing where it was not accepted; one read.
+    absl::StatusOr<std::optional<revision>> revision_of(const change_id& id);
 
 private:
     table& table_;
