Let the settings race serve reads from before the last commit

Trials with parts of the store taken out: without the condition on the head row, and without the mark for a missing reply, the race test failed; without the transaction that confirms a conflict it passed, since old reads came only for a whole step. Each step now also serves up to eight single reads from before the last commit, and the trial without the confirmation fails as well.

--- a/src/settings/yaml_reader.cc
+++ b/src/settings/yaml_reader.cc
@@ -56,8 +56,8 @@
     return YAML::Node(YAML::NodeType::Null);
 }
 
-yaml_reader::yaml_reader(YAML::Node map, std::string file, std::string path, findings& found)
-    : map_(std::move(map)), file_(std::move(file)), path_(std::move(path)), found_(&found) {}
+yaml_reader::yaml_reader(const YAML::Node& map, std::string file, std::string path, findings& found)
+    : map_(map), file_(std::move(file)), path_(std::move(path)), found_(&found) {}
 
 void yaml_reader::integer(const std::string& name, std::int64_t& value, std::int64_t least,
                           std::int64_t most, presence wanted) {
--- a/src/settings/yaml_reader.h
+++ b/src/settings/yaml_reader.h
@@ -24,7 +24,7 @@
 public:
     /// Reads `map`, which is at `path` (empty for the document itself) in `file`. The findings must
     /// outlive the reader.
-    yaml_reader(YAML::Node map, std::string file, std::string path, findings& found);
+    yaml_reader(const YAML::Node& map, std::string file, std::string path, findings& found);
 
     template <class Tag>
     void id(const std::string& name, strong_id<Tag>& value, presence wanted) {
--- a/tests/settings/settings_race_test.cc
+++ b/tests/settings/settings_race_test.cc
@@ -29,6 +29,8 @@
     table_fault fault;
     /// Whether the operator reads the newest settings before the change.
     bool refresh;
+    /// How many of the reads see the rows as they were before the last commit.
+    int old_reads;
 };
 
 using submit_function = std::function<absl::Status(fake_table&, const settings_change&)>;
@@ -115,7 +117,7 @@
     std::map<std::string, int> accepted;
     std::vector<settings_change> unknown;
     const auto submit_and_note = [&](const settings_change& change) {
-        const absl::Status status = submit(rows, change);
+        absl::Status status = submit(rows, change);
         if (status.ok()) {
             accepted[change.id.str()] = 1;
         }
@@ -134,16 +136,19 @@
                                {},
                                ""};
         set_fault(rows, step.fault);
+        rows.serve_old_reads(step.old_reads);
         if (absl::IsDeadlineExceeded(submit_and_note(change))) {
             unknown.push_back(change);
         }
         rows.set_down(false);
+        rows.serve_old_reads(0);
         if (step.fault != table_fault::stale_reads) {
             rows.set_stale(false);
         }
     }
     rows.set_stale(false);
     for (const settings_change& change : unknown) {
+        rows.serve_old_reads(1);
         static_cast<void>(submit_and_note(change));
     }
     const std::vector<std::string> trail = audited(rows);
@@ -171,7 +176,8 @@
                                                             {2, table_fault::lost_commit},
                                                             {1, table_fault::outage},
                                                             {2, table_fault::stale_reads}})),
-        rc::gen::set(&race_step::refresh, rc::gen::arbitrary<bool>())));
+        rc::gen::set(&race_step::refresh, rc::gen::arbitrary<bool>()),
+        rc::gen::set(&race_step::old_reads, rc::gen::inRange(0, 9))));
 }
 
 bool holds(const submit_function& submit,
--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -32,6 +32,11 @@
         stale_ = stale;
         old_rows_ = rows_;
     }
+    /// The next `count` reads see the rows as they were before the last commit.
+    void serve_old_reads(int count) {
+        const std::lock_guard lock(mutex_);
+        old_reads_ = count;
+    }
     [[nodiscard]] std::size_t commits() const {
         const std::lock_guard lock(mutex_);
         return commits_;
@@ -43,8 +48,9 @@
         if (down_) {
             return absl::UnavailableError("table is down");
         }
-        const auto found = readable().find(key);
-        if (found == readable().end()) {
+        const auto& rows = readable();
+        const auto found = rows.find(key);
+        if (found == rows.end()) {
             return std::optional<table_row>();
         }
         return std::optional<table_row>(found->second);
@@ -92,6 +98,7 @@
     void apply(const table_transaction& transaction) {
         version_ = version_.next();
         ++commits_;
+        previous_rows_ = rows_;
         for (const row_write& write : transaction.writes) {
             if (write.value) {
                 rows_[write.key] = table_row{write.key, *write.value, version_};
@@ -100,11 +107,19 @@
             }
         }
     }
-    const std::map<std::string, table_row>& readable() const { return stale_ ? old_rows_ : rows_; }
+    const std::map<std::string, table_row>& readable() {
+        if (old_reads_ > 0) {
+            --old_reads_;
+            return previous_rows_;
+        }
+        return stale_ ? old_rows_ : rows_;
+    }
 
     mutable std::mutex mutex_;
     std::map<std::string, table_row> rows_;
     std::map<std::string, table_row> old_rows_;
+    std::map<std::string, table_row> previous_rows_;
+    int old_reads_ = 0;
     row_version version_;
     std::size_t commits_ = 0;
     bool down_ = false;
