--- a/tests/blackboard/boards_test.cc
+++ b/tests/blackboard/boards_test.cc
@@ -54,7 +54,7 @@
     move.state = move_state::ramp;
     move.step = sequence_number(3);
     CHECK(board.merge(move));
-    CHECK(board.take_back(move.service, move.id, "errors", wall_time{}));
+    CHECK(board.take_back(move.service, move.id, "errors"));
     move.step = sequence_number(9);
     CHECK_FALSE(board.merge(move));
     CHECK(board.of_service(move.service)->state == move_state::taken_back);
