--- a/include/jujubetide/moves/move_planner.h
+++ b/include/jujubetide/moves/move_planner.h
@@ -39,6 +39,14 @@
     wall_time planned_end{};
 };
 
+/// Running requests at which a server of a version under trial counts as fully loaded, as a part of
+/// its maximum.
+inline constexpr double full_server_load = 0.7;
+
+/// The share of the service's traffic that loads one server fully, where the service has `running`
+/// requests at once and a server takes `max_running`.
+double full_server_share(double running, double max_running);
+
 /// Plans the ramp backwards from the due time: the short steps with high shares as late as the
 /// reserve permits, and what time is left at the smallest share.
 move_plan plan_move(const move_plan_request& request);
--- a/src/moves/move_planner.cc
+++ b/src/moves/move_planner.cc
@@ -43,8 +43,10 @@
         shape.push_back({second_share, second_length});
     }
     shape.push_back({full, std::clamp(full_load_exposure / full, least_step, longest_full_load)});
-    for (double share = full * growth; share < last_share; share *= growth) {
+    double share = full * growth;
+    while (share < last_share) {
         shape.push_back({share, std::max(later_exposure / share, least_step)});
+        share *= growth;
     }
     shape.push_back({last_share, least_step});
     return shape;
@@ -64,6 +66,12 @@
 
 } // namespace
 
+double full_server_share(double running, double max_running) {
+    constexpr double least_running = 1.0;
+    return std::clamp(max_running * full_server_load / std::max(running, least_running),
+                      canary_share, 1.0);
+}
+
 move_plan plan_move(const move_plan_request& request) {
     move_plan plan;
     const millis length = request.due - request.start;
--- a/src/moves/trial_version_selector.cc
+++ b/src/moves/trial_version_selector.cc
@@ -1,6 +1,7 @@
 #include "jujubetide/moves/trial_version_selector.h"
 
 #include "jujubetide/base/rendezvous_hash.h"
+#include "jujubetide/moves/move_planner.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -12,8 +13,8 @@
 
 /// Requests by which a version may run ahead of its share, and save up when behind.
 constexpr double credit_limit = 16.0;
-/// Running requests at which a server counts as fully loaded, as a part of its maximum.
-constexpr double full_load = 0.7;
+/// Part of a server by which its load may be over before another one is taken in.
+constexpr double overload_tolerance = 0.15;
 /// Closed windows that a report repeats, in case a message was lost.
 constexpr std::uint32_t reported_windows = 3;
 /// The false-alarm rate counts each node at least this often, for nodes replaced during the move.
@@ -33,9 +34,9 @@
     return move_window(window.value() > count ? window.value() - count : 0);
 }
 
-std::size_t servers_needed(double share, double running, double per_server) {
-    return std::max<std::size_t>(
-        1, static_cast<std::size_t>(std::ceil(share * running / (per_server * full_load))));
+std::size_t servers_needed(double share, double running, double max_running) {
+    const double servers = share * running / (max_running * full_server_load);
+    return static_cast<std::size_t>(std::max(1.0, std::ceil(servers - overload_tolerance)));
 }
 
 } // namespace
--- /dev/null
+++ b/tests/moves/move_evidence_codec_test.cc
@@ -0,0 +1,51 @@
+#include "support/fixed_seed_check.h"
+
+#include "jujubetide/moves/move_evidence_codec.h"
+
+#include <catch2/catch.hpp>
+
+namespace jujubetide {
+namespace {
+
+evidence_report sample_report() {
+    evidence_report report{move_id("m1"),
+                           service_id("s"),
+                           {node_id("n1"), incarnation(7)},
+                           sequence_number(3),
+                           true,
+                           {}};
+    evidence_cell cell;
+    cell.key = {route_id("main"), move_window(12), trial_arm::trial};
+    cell.counts.add(true, micros(0));
+    cell.counts.add(false, micros(90'000));
+    report.cells.push_back(cell);
+    return report;
+}
+
+} // namespace
+
+TEST_CASE("an evidence report survives its encoding") {
+    const auto read = decode_evidence_report(encode_evidence_report(sample_report()));
+    REQUIRE(read.ok());
+    CHECK(read->move == move_id("m1"));
+    CHECK(read->owner == evidence_owner{node_id("n1"), incarnation(7)});
+    CHECK(read->step == sequence_number(3));
+    CHECK(read->stopped);
+    CHECK(read->cells == sample_report().cells);
+}
+
+TEST_CASE("malformed evidence reports are refused") {
+    const std::string whole = encode_evidence_report(sample_report());
+    CHECK_FALSE(decode_evidence_report(whole + "x").ok());
+    evidence_report impossible = sample_report();
+    impossible.cells[0].counts.failures = 9;
+    CHECK_FALSE(decode_evidence_report(encode_evidence_report(impossible)).ok());
+    CHECK(fixed_seed_check("decode evidence", 20'261'203, 2'000, [&whole] {
+        std::string body = whole;
+        body.at(*rc::gen::inRange<std::size_t>(0, body.size())) = *rc::gen::arbitrary<char>();
+        body.resize(*rc::gen::inRange<std::size_t>(0, body.size() + 1));
+        (void)decode_evidence_report(body);
+    }));
+}
+
+} // namespace jujubetide
