--- a/include/jujubetide/moves/trial_version_selector.h
+++ b/include/jujubetide/moves/trial_version_selector.h
@@ -36,9 +36,15 @@
                   std::span<const backend_server_settings* const> candidates) const;
 
     /// This node's evidence of the move of a service, for the node that steers it: the last closed
-    /// windows and the current one. Empty while no move is on.
+    /// windows and the current one. Empty while no move is known or its end is recorded.
     [[nodiscard]] std::optional<evidence_report> report(const service_id& service) const;
 
+    /// The node that steers the move answered a report that was sent at `sent_at`; it knows the
+    /// move at `step`. Only while such an answer is fresh does this node send to the version under
+    /// trial, so that a node cut off from the others stops by itself.
+    void confirm(const service_id& service, const move_id& move, sequence_number step,
+                 time_point sent_at);
+
 protected:
     version_id do_select(const service_settings& service, const route_id& route,
                          const request_id& request) override;
@@ -49,6 +55,8 @@
     struct trial_state {
         move_id move;
         std::size_t routes = 1;
+        /// Until when this node may send to the version under trial.
+        time_point permitted_until{};
         /// Requests that the version may still get ahead of its share.
         double credit = 0.0;
         move_evidence evidence;
