--- a/tests/lease/lease_keeper_test.cc
+++ b/tests/lease/lease_keeper_test.cc
@@ -2,7 +2,7 @@
 #include "standins/standin_table.h"
 #include "support/faulty_table.h"
 #include "support/manual_clock.h"
-#include "support/null_log.h"
+#include "support/quiet_log.h"
 
 #include "jujubetide/lease/lease_keeper.h"
 #include "jujubetide/lease/order_sender.h"
@@ -73,7 +73,7 @@
 template <class Keeper>
 struct two_holders {
     manual_clock time;
-    null_log log;
+    quiet_log log;
     standin_table rows;
     faulty_table table_of_a{rows};
     faulty_table table_of_b{rows};
--- a/tests/lease/lease_property_test.cc
+++ b/tests/lease/lease_property_test.cc
@@ -1,7 +1,7 @@
 #include "standins/standin_table.h"
 #include "support/faulty_table.h"
 #include "support/manual_clock.h"
-#include "support/null_log.h"
+#include "support/quiet_log.h"
 
 #include "jujubetide/base/random_source.h"
 #include "jujubetide/lease/lease_keeper.h"
@@ -105,7 +105,7 @@
 
     seeded_random random_;
     manual_clock time_;
-    null_log log_;
+    quiet_log log_;
     standin_table rows_;
     std::array<process, 3> processes_{process(rows_, time_, log_, "a"),
                                       process(rows_, time_, log_, "b"),
--- a/tests/lease/order_sender_test.cc
+++ b/tests/lease/order_sender_test.cc
@@ -1,7 +1,7 @@
 #include "lease/fake_engine.h"
 #include "standins/standin_table.h"
 #include "support/manual_clock.h"
-#include "support/null_log.h"
+#include "support/quiet_log.h"
 
 #include "jujubetide/lease/order_sender.h"
 
@@ -21,7 +21,7 @@
 
     bool checks;
     manual_clock time;
-    null_log log;
+    quiet_log log;
     standin_table rows;
     fake_engine engine;
     lease_keeper old_lease{rows, time, log, options_for("old")};
--- a/tests/support/null_log.h
+++ b/tests/support/quiet_log.h
@@ -4,8 +4,8 @@
 
 namespace jujubetide {
 
-/// Drops all log lines.
-class null_log final : public log_sink {
+/// Drops log lines.
+class quiet_log final : public log_sink {
 protected:
     void do_write(const log_event& /*event*/,
                   std::initializer_list<log_field> /*fields*/) override {}
