Keep engines in their declared states by a service under the order lease

Renewals and orders need threads of their own: a slow engine must not delay a renewal, and engines of a lost failure domain must not hold up the others, so up to 16 are ordered at once. The thread behind a timer that leaving_watcher had is now edge/periodic_task, used by both. A lease is released only after the running orders have ended.

--- a/include/jujubetide/lease/order_sender.h
+++ b/include/jujubetide/lease/order_sender.h
@@ -22,8 +22,8 @@
     engine_role role = engine_role::mixed;
 };
 
-/// The desired state of a server that stays with the version of its settings.
-desired_engine_state desired_state_of(const backend_server_settings& server);
+/// The states that the settings declare for the engines of all model services.
+std::vector<desired_engine_state> declared_engine_states(const settings_snapshot& settings);
 
 enum class order_outcome {
     /// The engine reports the desired version.
@@ -49,7 +49,7 @@
         : lease_(lease), engines_(engines), log_(log) {}
 
     /// Orders the engines that need it and reads back each result; to be called once each period.
-    /// Blocks on the engines, one after the other. A server that checks fencing numbers is ordered
+    /// Blocks on the engines, several at a time. A server that checks fencing numbers is ordered
     /// until it reports the desired state; one that does not is ordered each time, so that an old
     /// holder's late order lasts no longer than a period.
     std::vector<order_result> bring_about(const std::vector<desired_engine_state>& states);
--- a/include/jujubetide/platform/leaving_watcher.h
+++ b/include/jujubetide/platform/leaving_watcher.h
@@ -2,17 +2,14 @@
 
 #include "jujubetide/base/log.h"
 #include "jujubetide/base/timer_service.h"
+#include "jujubetide/edge/periodic_task.h"
 #include "jujubetide/membership/fact_publisher.h"
 #include "jujubetide/platform/cloud.h"
 #include "jujubetide/platform/host_list.h"
 
-#include <condition_variable>
-#include <functional>
-#include <memory>
 #include <mutex>
 #include <set>
 #include <string>
-#include <thread>
 
 namespace jujubetide {
 
@@ -31,32 +28,8 @@
     /// All must outlive the watcher.
     leaving_watcher(cloud& platform_cloud, host_list& hosts, fact_publisher& facts,
                     timer_service& timers, log_sink& log, const leaving_periods& periods = {});
-    /// Waits for a read that is under way.
-    ~leaving_watcher();
-    leaving_watcher(const leaving_watcher&) = delete;
-    leaving_watcher& operator=(const leaving_watcher&) = delete;
 
 private:
-    /// A thread that reads one source each time that it is asked to.
-    class reader {
-    public:
-        explicit reader(std::function<void()> read);
-        ~reader();
-        reader(const reader&) = delete;
-        reader& operator=(const reader&) = delete;
-        /// Does not block; asking during a read leads to one more.
-        void ask();
-
-    private:
-        void run();
-
-        std::function<void()> read_;
-        std::mutex mutex_;
-        std::condition_variable changed_;
-        bool asked_ = false;
-        bool stopping_ = false;
-        std::thread thread_;
-    };
     struct source {
         std::string name;
         bool lost = false;
@@ -77,10 +50,8 @@
     std::mutex mutex_;
     source notices_{"reclaim_notices", false, {}};
     source listed_{"host_list", false, {}};
-    reader notice_reader_;
-    reader list_reader_;
-    std::unique_ptr<timer_subscription> notice_timer_;
-    std::unique_ptr<timer_subscription> list_timer_;
+    periodic_task notice_task_;
+    periodic_task list_task_;
 };
 
 } // namespace jujubetide
--- a/src/lease/order_sender.cc
+++ b/src/lease/order_sender.cc
@@ -7,18 +7,50 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
 namespace jujubetide {
 
-desired_engine_state desired_state_of(const backend_server_settings& server) {
-    return {server.id, server.address, server.checks_fencing, server.version, engine_role::mixed};
+namespace {
+
+/// Engines that are ordered at the same time. Engines that do not answer, such as those of a lost
+/// failure domain, must not hold up the others for longer than a period.
+constexpr std::size_t max_parallel_orders = 16;
+
+} // namespace
+
+std::vector<desired_engine_state> declared_engine_states(const settings_snapshot& settings) {
+    std::vector<desired_engine_state> states;
+    for (const service_settings& service : settings.services()) {
+        if (service.kind != service_kind::model) {
+            continue;
+        }
+        for (const backend_server_settings* server : settings.servers_of(service.id)) {
+            states.push_back({server->id, server->address, server->checks_fencing, server->version,
+                              engine_role::mixed});
+        }
+    }
+    return states;
 }
 
 std::vector<order_result>
 order_sender::bring_about(const std::vector<desired_engine_state>& states) {
-    std::vector<order_result> results;
-    results.reserve(states.size());
-    for (const desired_engine_state& wanted : states) {
-        results.push_back(bring_about(wanted));
+    std::vector<order_result> results(states.size());
+    std::atomic<std::size_t> next{0};
+    const auto work = [&] {
+        for (std::size_t i = next++; i < states.size(); i = next++) {
+            results[i] = bring_about(states[i]);
+        }
+    };
+    std::vector<std::thread> helpers;
+    for (std::size_t i = 1; i < std::min(max_parallel_orders, states.size()); ++i) {
+        helpers.emplace_back(work);
+    }
+    work();
+    for (std::thread& helper : helpers) {
+        helper.join();
     }
     return results;
 }
--- a/src/platform/leaving_watcher.cc
+++ b/src/platform/leaving_watcher.cc
@@ -8,51 +8,12 @@
 
 namespace jujubetide {
 
-leaving_watcher::reader::reader(std::function<void()> read) : read_(std::move(read)) {
-    thread_ = std::thread([this] { run(); });
-}
-
-leaving_watcher::reader::~reader() {
-    {
-        const std::lock_guard lock(mutex_);
-        stopping_ = true;
-    }
-    changed_.notify_all();
-    thread_.join();
-}
-
-void leaving_watcher::reader::ask() {
-    const std::lock_guard lock(mutex_);
-    asked_ = true;
-    changed_.notify_all();
-}
-
-void leaving_watcher::reader::run() {
-    std::unique_lock lock(mutex_);
-    while (true) {
-        changed_.wait(lock, [this] { return asked_ || stopping_; });
-        if (stopping_) {
-            return;
-        }
-        asked_ = false;
-        lock.unlock();
-        read_();
-        lock.lock();
-    }
-}
-
 leaving_watcher::leaving_watcher(cloud& platform_cloud, host_list& hosts, fact_publisher& facts,
                                  timer_service& timers, log_sink& log,
                                  const leaving_periods& periods)
     : cloud_(platform_cloud), hosts_(hosts), facts_(facts), log_(log),
-      notice_reader_([this] { read_notices(); }), list_reader_([this] { read_host_list(); }),
-      notice_timer_(timers.every(periods.notices, micros{0}, [this] { notice_reader_.ask(); })),
-      list_timer_(timers.every(periods.host_list, micros{0}, [this] { list_reader_.ask(); })) {}
-
-leaving_watcher::~leaving_watcher() {
-    notice_timer_.reset();
-    list_timer_.reset();
-}
+      notice_task_(timers, periods.notices, [this] { read_notices(); }),
+      list_task_(timers, periods.host_list, [this] { read_host_list(); }) {}
 
 void leaving_watcher::read_notices() {
     const auto notices = cloud_.reclaim_notices();
