Count idle calls of the stalled stream only after its pieces

backend_test failed once under ThreadSanitizer on a busy machine: the receiver counted its three idle calls before the first piece had come and stopped too early. The test now counts them once the two pieces are there and checks the same.

--- a/tests/backend/http_engine_client_test.cc
+++ b/tests/backend/http_engine_client_test.cc
@@ -27,12 +27,13 @@
     return request;
 }
 
-/// Keeps the pieces; stops after a number of pieces or of idle calls.
+/// Keeps the pieces; stops after a number of pieces, or of idle calls once enough pieces came.
 class collecting_receiver final : public engine_receiver {
 public:
     std::vector<engine_piece> pieces;
     std::size_t stop_after_pieces = SIZE_MAX;
     int stop_after_idle = 1'000;
+    std::size_t count_idle_after_pieces = 0;
 
     [[nodiscard]] std::string text() const {
         std::string joined;
@@ -47,7 +48,12 @@
         pieces.push_back(piece);
         return pieces.size() < stop_after_pieces;
     }
-    bool do_on_idle() override { return --stop_after_idle > 0; }
+    bool do_on_idle() override {
+        if (pieces.size() >= count_idle_after_pieces) {
+            --stop_after_idle;
+        }
+        return stop_after_idle > 0;
+    }
 };
 
 std::vector<std::uint32_t> offsets_of(const collecting_receiver& receiver) {
@@ -141,6 +147,7 @@
     for (const std::size_t at_piece : {std::size_t{0}, std::size_t{2}}) {
         collecting_receiver receiver;
         receiver.stop_after_idle = 3;
+        receiver.count_idle_after_pieces = at_piece;
         engine->set_fault(engine_fault::stall, {1, at_piece});
         const std::string attempt = "stalled-" + std::to_string(at_piece);
         CHECK(client.run(engine->address(), make_request(attempt), receiver).outcome ==
