Stop the stalled stream in the test only once the engine runs it

backend_test still failed in 4 of 8 runs under ThreadSanitizer: the first attempt was stopped before the engine had begun it, and the late beginning then took the fault planned for the second attempt. The receiver now counts idle calls while the engine runs the attempt and the expected pieces are there.

--- a/tests/backend/http_engine_client_test.cc
+++ b/tests/backend/http_engine_client_test.cc
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <thread>
 
 using namespace jujubetide;
@@ -27,13 +28,14 @@
     return request;
 }
 
-/// Keeps the pieces; stops after a number of pieces, or of idle calls once enough pieces came.
+/// Keeps the pieces; stops after a number of pieces, or of idle calls, counted while
+/// `counts_idle` holds.
 class collecting_receiver final : public engine_receiver {
 public:
     std::vector<engine_piece> pieces;
     std::size_t stop_after_pieces = SIZE_MAX;
     int stop_after_idle = 1'000;
-    std::size_t count_idle_after_pieces = 0;
+    std::function<bool()> counts_idle = [] { return true; };
 
     [[nodiscard]] std::string text() const {
         std::string joined;
@@ -49,7 +51,7 @@
         return pieces.size() < stop_after_pieces;
     }
     bool do_on_idle() override {
-        if (pieces.size() >= count_idle_after_pieces) {
+        if (counts_idle()) {
             --stop_after_idle;
         }
         return stop_after_idle > 0;
@@ -147,7 +149,9 @@
     for (const std::size_t at_piece : {std::size_t{0}, std::size_t{2}}) {
         collecting_receiver receiver;
         receiver.stop_after_idle = 3;
-        receiver.count_idle_after_pieces = at_piece;
+        receiver.counts_idle = [&] {
+            return engine->running() == 1 && receiver.pieces.size() == at_piece;
+        };
         engine->set_fault(engine_fault::stall, {1, at_piece});
         const std::string attempt = "stalled-" + std::to_string(at_piece);
         CHECK(client.run(engine->address(), make_request(attempt), receiver).outcome ==
--- a/tests/lease/order_service_test.cc
+++ b/tests/lease/order_service_test.cc
@@ -31,7 +31,7 @@
     const auto ignoring_engine = standin_engine::make(ignoring);
     REQUIRE(checking_engine.ok());
     REQUIRE(ignoring_engine.ok());
-    const std::vector<desired_engine_state> wanted{
+    std::vector<desired_engine_state> wanted{
         {backend_server_id("e1"), (*checking_engine)->address(), true, version_id("v1"), {}},
         {backend_server_id("e2"), (*ignoring_engine)->address(), false, version_id("v1"), {}}};
     const auto in_force = [&] {
@@ -46,7 +46,8 @@
     http_engine_client engines;
     const auto start = [&](const std::string& holder) {
         return std::make_unique<order_service>(
-            platform_table, engines, [&wanted] { return wanted; }, time, timers, log,
+            platform_table, engines,
+            [&wanted] { return std::vector<desired_engine_state>(wanted); }, time, timers, log,
             short_lease(holder));
     };
     auto first = start("first");
