Ask the receiver also while a stream sends bytes but no pieces

An engine that keeps its stream open with comments would have kept its receiver from checking the deadline: it was asked only while no bytes came.

--- a/src/backend/refusal.h
+++ b/include/jujubetide/http/refusal.h
@@ -7,7 +7,7 @@
 
 namespace jujubetide {
 
-/// A backend server's statement that it did not run a call.
+/// A server's statement that it did not run a call.
 struct not_run_refusal {
     /// When to come back; zero for none.
     millis retry_after{0};
--- a/src/backend/engine_run.cc
+++ b/src/backend/engine_run.cc
@@ -2,7 +2,7 @@
 // late and crossed pieces. Only the end mark of this very attempt makes an answer whole.
 #include "backend/engine_run.h"
 
-#include "backend/refusal.h"
+#include "jujubetide/http/refusal.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -59,7 +59,8 @@
         if (seen.finished) {
             return without_end();
         }
-        if (seen.bytes.empty() && !receiver_.on_idle()) {
+        // Bytes without a piece, such as comments that keep the stream open, are idle time too.
+        if (!std::exchange(piece_came_, false) && !receiver_.on_idle()) {
             return cancelled();
         }
     }
@@ -103,6 +104,7 @@
     } catch (const nlohmann::json::exception& error) {
         return interrupted(absl::StrCat("unreadable piece: ", error.what()));
     }
+    piece_came_ = true;
     if (!receiver_.on_piece(piece)) {
         return cancelled();
     }
--- a/src/backend/engine_run.h
+++ b/src/backend/engine_run.h
@@ -31,6 +31,7 @@
     const engine_request& request_;
     engine_receiver& receiver_;
     sse_parser parser_;
+    bool piece_came_ = false;
     /// The body of an answer that is no stream.
     std::string refusal_;
 };
--- a/src/backend/http_plain_client.cc
+++ b/src/backend/http_plain_client.cc
@@ -1,6 +1,6 @@
 #include "jujubetide/backend/http_plain_client.h"
 
-#include "backend/refusal.h"
+#include "jujubetide/http/refusal.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/backend/refusal.cc
+++ b/src/http/refusal.cc
@@ -1,4 +1,4 @@
-#include "backend/refusal.h"
+#include "jujubetide/http/refusal.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/platform_call.cc
+++ b/src/platform/platform_call.cc
@@ -2,16 +2,13 @@
 // an overloaded platform may answer any other 5xx after the write took effect.
 #include "platform/platform_call.h"
 
+#include "jujubetide/http/refusal.h"
+
 #include <absl/strings/str_cat.h>
 
 namespace jujubetide {
 namespace {
 
-bool says_not_run(const http_answer& answer) {
-    const auto body = nlohmann::json::parse(answer.body, nullptr, false);
-    return body.is_object() && body.contains("outcome") && body["outcome"] == "not_run";
-}
-
 absl::Status to_platform_status(const http_answer& answer, const std::string& target) {
     const std::string text = absl::StrCat(target, " answered ", answer.status, ": ", answer.body);
     switch (answer.status) {
@@ -26,8 +23,8 @@
     case 429:
         return absl::ResourceExhaustedError(text);
     default:
-        return answer.status == 503 && says_not_run(answer) ? absl::UnavailableError(text)
-                                                            : absl::DeadlineExceededError(text);
+        return read_refusal(answer.status, answer.body) ? absl::UnavailableError(text)
+                                                        : absl::DeadlineExceededError(text);
     }
 }
 
--- a/tests/backend/http_engine_client_test.cc
+++ b/tests/backend/http_engine_client_test.cc
@@ -4,6 +4,7 @@
 #include "jujubetide/backend/http_engine_client.h"
 
 #include <catch2/catch.hpp>
+#include <httplib.h>
 
 #include <functional>
 #include <thread>
@@ -161,6 +162,29 @@
     }
 }
 
+TEST_CASE("the receiver is asked while a stream sends bytes but no pieces") {
+    constexpr int pings = 300;
+    const auto server = http_server::make({}, [](httplib::Server& routes) {
+        routes.Post("/v1/generate", [](const httplib::Request&, httplib::Response& response) {
+            response.set_chunked_content_provider(
+                "text/event-stream", [sent = 0](std::size_t, httplib::DataSink& sink) mutable {
+                    if (++sent == pings) {
+                        sink.done();
+                        return true;
+                    }
+                    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+                    return sink.write(": ping\n\n", 8);
+                });
+        });
+    });
+    REQUIRE(server.ok());
+    http_engine_client client;
+    collecting_receiver receiver;
+    receiver.stop_after_idle = 3;
+    CHECK(client.run((*server)->address(), make_request("pinged"), receiver).outcome ==
+          engine_outcome::cancelled);
+}
+
 TEST_CASE("an engine runs the urgent first and reports its load") {
     standin_engine_options options;
     options.max_running = 1;
