Add the operators' HTTP interface and the control process

Operators need one place to check, apply and read settings, to see where a change is in force and to start and take back version moves. A bearer key names the operator; while no operator is declared a bootstrap key stands for one. Reads fall back to what is in force while the table is down; changes are refused as not run. A take-back first stops the traffic, which needs no agreement, and then has the table record the end; 202 says that the record is missing. The next move of a service waits until its settings name the version of the last one, as the settings name the version that traffic falls back to.

--- a/include/jujubetide/settings/settings_snapshot.h
+++ b/include/jujubetide/settings/settings_snapshot.h
@@ -78,6 +78,9 @@
     std::vector<std::string> subtrees;
 };
 
+/// Whether the path lies under one of the operator's subtrees.
+bool covers(const operator_settings& person, const std::string& path);
+
 /// Everything that operators have declared, at one revision. Immutable; a request keeps the
 /// snapshot that it began with.
 class settings_snapshot {
--- /dev/null
+++ b/src/control/control_server.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "control/control_metrics.h"
+#include "control/control_parts.h"
+#include "control/move_handler.h"
+#include "control/operator_gate.h"
+#include "control/settings_handler.h"
+#include "control/status_handler.h"
+
+#include "jujubetide/http/http_server.h"
+
+#include <absl/status/statusor.h>
+
+#include <memory>
+
+namespace jujubetide {
+
+/// The operators' HTTP interface.
+class control_server {
+public:
+    /// The parts and what they refer to outlive the server.
+    static absl::StatusOr<std::unique_ptr<control_server>> make(const control_parts& parts,
+                                                                const http_server_options& options);
+
+    [[nodiscard]] const endpoint& address() const { return http_->address(); }
+    /// Takes no new calls and waits for the running ones.
+    void stop() { http_->stop(); }
+
+private:
+    explicit control_server(const control_parts& parts);
+    void add_routes(httplib::Server& routes);
+    void add_health_routes(httplib::Server& routes);
+
+    control_parts parts_;
+    control_metrics metrics_;
+    operator_gate gate_;
+    settings_handler settings_;
+    move_handler moves_;
+    status_handler status_;
+    std::unique_ptr<http_server> http_;
+};
+
+} // namespace jujubetide
--- a/src/settings/change_check.cc
+++ b/src/settings/change_check.cc
@@ -16,7 +16,7 @@
 bool has_operators_manager(const settings_snapshot& settings) {
     return std::any_of(
         settings.operators().begin(), settings.operators().end(),
-        [](const operator_settings& person) { return may_write(person, operators_subtree); });
+        [](const operator_settings& person) { return covers(person, operators_subtree); });
 }
 
 std::vector<std::string> paths_of(const settings_change& change) {
@@ -43,11 +43,6 @@
 
 } // namespace
 
-bool may_write(const operator_settings& person, const std::string& path) {
-    return std::any_of(person.subtrees.begin(), person.subtrees.end(),
-                       [&path](const std::string& subtree) { return path.starts_with(subtree); });
-}
-
 absl::Status check_author(const settings_change& change, const settings_snapshot& current) {
     if (current.operators().empty()) {
         return absl::OkStatus();
@@ -60,7 +55,7 @@
             absl::StrCat("operator '", change.author.str(), "' is not declared"));
     }
     std::vector<std::string> refused = paths_of(change);
-    std::erase_if(refused, [&](const std::string& path) { return may_write(*author, path); });
+    std::erase_if(refused, [&](const std::string& path) { return covers(*author, path); });
     if (refused.empty()) {
         return absl::OkStatus();
     }
--- a/src/settings/change_check.h
+++ b/src/settings/change_check.h
@@ -4,9 +4,6 @@
 
 namespace jujubetide {
 
-/// Whether the operator may write the path: it lies under one of the operator's subtrees.
-bool may_write(const operator_settings& person, const std::string& path);
-
 /// PermissionDenied naming every path that the author may not write by the operators of `current`.
 absl::Status check_author(const settings_change& change, const settings_snapshot& current);
 
--- a/src/settings/settings_snapshot.cc
+++ b/src/settings/settings_snapshot.cc
@@ -4,6 +4,11 @@
 
 namespace jujubetide {
 
+bool covers(const operator_settings& person, const std::string& path) {
+    return std::any_of(person.subtrees.begin(), person.subtrees.end(),
+                       [&path](const std::string& subtree) { return path.starts_with(subtree); });
+}
+
 std::shared_ptr<const settings_snapshot> settings_snapshot::make(parts checked_parts) {
     return std::shared_ptr<const settings_snapshot>(
         new settings_snapshot(std::move(checked_parts)));
--- a/src/settings/yaml_reader.cc
+++ b/src/settings/yaml_reader.cc
@@ -39,6 +39,10 @@
     });
 }
 
+bool is_key_hash(const std::string& text) {
+    return text.size() == key_hash_digits && is_lower_hex(text);
+}
+
 YAML::Node parse_yaml_map(const std::string& text, const std::string& file, findings& found) {
     if (text.size() > max_document_bytes) {
         found.add({file, 0, ""}, absl::StrCat("has more than ", max_document_bytes, " bytes"));
@@ -158,7 +162,7 @@
     if (!scalar(name, text, wanted)) {
         return;
     }
-    if (text.size() != key_hash_digits || !is_lower_hex(text)) {
+    if (!is_key_hash(text)) {
         add(name, "is not a SHA-256 in 64 lower-case hex digits");
         return;
     }
--- a/src/settings/yaml_reader.h
+++ b/src/settings/yaml_reader.h
@@ -96,6 +96,9 @@
 /// Parses one YAML document that must be a map; null and a finding where it is not.
 YAML::Node parse_yaml_map(const std::string& text, const std::string& file, findings& found);
 
+/// Whether the text is a SHA-256 in 64 lower-case hex digits.
+bool is_key_hash(const std::string& text);
+
 /// Whether the text is a safe id: 1 to 64 letters, digits, '.', '_' and '-', beginning with a
 /// letter or digit.
 bool is_safe_name(const std::string& text);
