--- /dev/null
+++ b/src/ctl/move_commands.cc
@@ -0,0 +1,127 @@
+// Commands on version moves.
+#include "ctl/civil_time.h"
+#include "ctl/commands.h"
+#include "ctl/text_table.h"
+
+#include "jujubetide/edge/system_random.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace jujubetide {
+namespace {
+
+using nlohmann::json;
+
+std::string text_at(const json& move, const std::string& name) {
+    const json& field = move.at(name);
+    return field.is_string() ? field.get<std::string>() : field.dump();
+}
+
+std::string time_at(const json& move, const std::string& name) {
+    return format_civil_time(wall_time(millis(move.at(name).get<std::int64_t>())));
+}
+
+absl::Status write_moves(const json& moves, std::ostream& out) {
+    try {
+        text_table table(
+            {"SERVICE", "MOVE", "FROM", "TO", "STATE", "SHARE", "DUE", "ENDED", "EVIDENCE"});
+        for (const json& move : moves) {
+            table.add({text_at(move, "service"), text_at(move, "id"), text_at(move, "from"),
+                       text_at(move, "to"), text_at(move, "state"), text_at(move, "share"),
+                       time_at(move, "due_ms"), time_at(move, "ended_ms"),
+                       text_at(move, "evidence")});
+        }
+        table.write(out);
+        return absl::OkStatus();
+    } catch (const json::exception& error) {
+        return absl::InternalError(absl::StrCat("unreadable answer: ", error.what()));
+    }
+}
+
+} // namespace
+
+absl::Status run_move_start(const ctl_arguments& arguments, ctl_environment& environment) {
+    command_line line("move start", "moves a service's traffic to another version by a time");
+    server_arguments server(line);
+    TCLAP::UnlabeledValueArg<std::string> service("SERVICE", "The service", true, "", "SERVICE",
+                                                  line.parser());
+    TCLAP::ValueArg<std::string> to("", "to", "The new version", true, "", "VERSION",
+                                    line.parser());
+    TCLAP::ValueArg<std::string> by("", "by", "Due time: 2026-12-04T18:00:00Z, or +90m from now",
+                                    true, "", "TIME", line.parser());
+    TCLAP::ValueArg<std::string> id("", "move-id", "Id of the move; the same for a repeat", false,
+                                    "", "ID", line.parser());
+    TCLAP::ValueArg<std::string> comment("", "comment", "Why, for the audit trail", false, "",
+                                         "TEXT", line.parser());
+    line.parse("move start", arguments);
+    const auto due = parse_civil_time(by.getValue(), environment.time.wall_now());
+    if (!due.ok()) {
+        return due.status();
+    }
+    const auto client = server.connect(environment);
+    if (!client.ok()) {
+        return client.status();
+    }
+    const json body{{"id", id.getValue().empty() ? random_hex_id() : id.getValue()},
+                    {"service", service.getValue()},
+                    {"to", to.getValue()},
+                    {"due_ms", due->time_since_epoch().count()},
+                    {"comment", comment.getValue()}};
+    const auto answer = client->call("POST", "/v1/moves", body.dump());
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    if (server.json_output()) {
+        environment.out << answer->dump(2) << '\n';
+        return absl::OkStatus();
+    }
+    return write_moves(json::array({*answer}), environment.out);
+}
+
+absl::Status run_move_status(const ctl_arguments& arguments, ctl_environment& environment) {
+    command_line line("move status", "shows the newest version move of each service");
+    server_arguments server(line);
+    line.parse("move status", arguments);
+    const auto client = server.connect(environment);
+    if (!client.ok()) {
+        return client.status();
+    }
+    const auto answer = client->call("GET", "/v1/moves");
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    if (server.json_output()) {
+        environment.out << answer->dump(2) << '\n';
+        return absl::OkStatus();
+    }
+    return write_moves(answer->value("moves", json::array()), environment.out);
+}
+
+absl::Status run_move_take_back(const ctl_arguments& arguments, ctl_environment& environment) {
+    command_line line("move take-back", "ends a version move and returns its traffic");
+    server_arguments server(line);
+    TCLAP::UnlabeledValueArg<std::string> id("MOVE", "Id of the move", true, "", "MOVE",
+                                             line.parser());
+    TCLAP::ValueArg<std::string> comment("", "comment", "Why, for the audit trail", false, "",
+                                         "TEXT", line.parser());
+    line.parse("move take-back", arguments);
+    const auto client = server.connect(environment);
+    if (!client.ok()) {
+        return client.status();
+    }
+    const auto answer = client->call(
+        "POST", absl::StrCat("/v1/moves/", id.getValue(), "/take_back"), comment.getValue());
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    if (server.json_output()) {
+        environment.out << answer->dump(2) << '\n';
+        return absl::OkStatus();
+    }
+    environment.out << "move " << id.getValue() << ": " << answer->value("state", "")
+                    << (answer->contains("detail") ? ", " + answer->value("detail", "") : "")
+                    << '\n';
+    return absl::OkStatus();
+}
+
+} // namespace jujubetide
