--- a/src/ctl/control_client.cc
+++ b/src/ctl/control_client.cc
@@ -3,6 +3,7 @@
 #include "jujubetide/http/http_client.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <chrono>
 #include <thread>
@@ -50,15 +51,19 @@
     return absl::Status(code_of(answer.status), detail);
 }
 
-json to_json(const apply_request& request) {
-    json edits = json::object();
-    for (const auto& [path, text] : request.edits) {
-        edits[path] = text ? json(*text) : json(nullptr);
+json to_json(const std::map<std::string, std::optional<std::string>>& edits) {
+    json value = json::object();
+    for (const auto& [path, text] : edits) {
+        value[path] = text ? json(*text) : json(nullptr);
     }
+    return value;
+}
+
+json to_json(const apply_request& request) {
     return {{"change", request.change.str()},
             {"expected", request.expected.value()},
             {"comment", request.comment},
-            {"edits", edits}};
+            {"edits", to_json(request.edits)}};
 }
 
 /// Reads a typed answer; Internal when the server's answer has another form.
@@ -107,6 +112,19 @@
     });
 }
 
+absl::Status
+control_client::check(const std::map<std::string, std::optional<std::string>>& edits) const {
+    const auto answer = call("POST", "/v1/settings/check", json{{"edits", to_json(edits)}}.dump());
+    const auto lines = typed<std::vector<std::string>>(answer, [](const json& body) {
+        return body.at("findings").get<std::vector<std::string>>();
+    });
+    if (!lines.ok()) {
+        return lines.status();
+    }
+    return lines->empty() ? absl::OkStatus()
+                          : absl::InvalidArgumentError(absl::StrJoin(*lines, "\n"));
+}
+
 absl::StatusOr<apply_answer> control_client::apply(const apply_request& request) const {
     const std::string body = to_json(request).dump();
     absl::StatusOr<json> answer = call("POST", "/v1/settings/apply", body);
--- a/src/ctl/control_client.h
+++ b/src/ctl/control_client.h
@@ -45,6 +45,9 @@
         : servers_(std::move(servers)), key_(std::move(key)) {}
 
     [[nodiscard]] absl::StatusOr<settings_view> settings() const;
+    /// Checks edits against the settings in force; InvalidArgument with every finding.
+    [[nodiscard]] absl::Status
+    check(const std::map<std::string, std::optional<std::string>>& edits) const;
     /// Submits the change, again with the same id where a reply is lost.
     [[nodiscard]] absl::StatusOr<apply_answer> apply(const apply_request& request) const;
     /// Any other call; the answer's JSON.
--- a/src/ctl/ctl_environment.cc
+++ b/src/ctl/ctl_environment.cc
@@ -27,6 +27,18 @@
     parser_.parse(all);
 }
 
+// TCLAP remembers over the whole process that an optional positional argument was declared, and
+// then refuses any other positional argument; a process that runs several commands could not use
+// it.
+std::string take_path(ctl_arguments& arguments) {
+    if (arguments.empty() || arguments.front().starts_with("-")) {
+        return "/";
+    }
+    std::string path = arguments.front();
+    arguments.erase(arguments.begin());
+    return path;
+}
+
 server_arguments::server_arguments(command_line& line)
     : outputs_(output_names()),
       servers_("", "server", "Address of a control process; more are tried in order", true,
--- a/src/ctl/ctl_environment.h
+++ b/src/ctl/ctl_environment.h
@@ -36,6 +36,10 @@
     TCLAP::CmdLine parser_;
 };
 
+/// Removes the first argument, if it is no option, and returns it; otherwise "/". Optional paths
+/// are read this way, before the options.
+std::string take_path(ctl_arguments& arguments);
+
 /// Arguments of every command that calls a server.
 class server_arguments {
 public:
--- a/src/ctl/report_commands.cc
+++ b/src/ctl/report_commands.cc
@@ -136,37 +136,37 @@
 } // namespace
 
 absl::Status run_history(const ctl_arguments& arguments, ctl_environment& environment) {
-    command_line line("history", "lists accepted changes, the newest first");
+    command_line line("history [PATH]", "lists accepted changes, the newest first");
     server_arguments server(line);
-    TCLAP::UnlabeledValueArg<std::string> path("PATH", "Only at or below this path", false, "/",
-                                               "PATH", line.parser());
     TCLAP::ValueArg<unsigned> limit("", "limit", "Most changes to list", false, 50, "COUNT",
                                     line.parser());
     TCLAP::ValueArg<std::uint64_t> before("", "before", "Only before this revision", false, 0,
                                           "REVISION", line.parser());
-    line.parse("history", arguments);
+    ctl_arguments options = arguments;
+    const std::string path = take_path(options);
+    line.parse("history", options);
     return show(server, environment,
-                absl::StrCat("/v1/history?path=", path.getValue(), "&limit=", limit.getValue(),
+                absl::StrCat("/v1/history?path=", path, "&limit=", limit.getValue(),
                              "&before=", before.getValue()),
                 write_history);
 }
 
 absl::Status run_audit(const ctl_arguments& arguments, ctl_environment& environment) {
-    command_line line("audit", "shows changes with their texts, or the steps of a service's moves");
+    command_line line("audit [PATH]",
+                      "shows changes with their texts, or the steps of a service's moves");
     server_arguments server(line);
-    TCLAP::UnlabeledValueArg<std::string> path("PATH", "Only at or below this path", false, "/",
-                                               "PATH", line.parser());
     TCLAP::ValueArg<std::string> moves("", "moves", "The steps of this service's moves", false, "",
                                        "SERVICE", line.parser());
     TCLAP::ValueArg<unsigned> limit("", "limit", "Most changes to show", false, 20, "COUNT",
                                     line.parser());
-    line.parse("audit", arguments);
+    ctl_arguments options = arguments;
+    const std::string path = take_path(options);
+    line.parse("audit", options);
     if (!moves.getValue().empty()) {
         return show(server, environment, "/v1/moves/audit/" + moves.getValue(), write_move_audit);
     }
     return show(server, environment,
-                absl::StrCat("/v1/history?path=", path.getValue(), "&limit=", limit.getValue()),
-                write_audit);
+                absl::StrCat("/v1/history?path=", path, "&limit=", limit.getValue()), write_audit);
 }
 
 absl::Status run_status(const ctl_arguments& arguments, ctl_environment& environment) {
--- a/src/ctl/settings_commands.cc
+++ b/src/ctl/settings_commands.cc
@@ -31,7 +31,8 @@
         : server(line),
           directory("DIR", "Directory of the settings", true, "", "DIR", line.parser()),
           subtrees("", "subtree",
-                   "Also remove what the directory lacks below this path, such as /teams/frio/",
+                   "Only what lies below this path, such as /teams/frio/, also where the directory "
+                   "has nothing there",
                    false, "PATH", line.parser()) {}
 
     server_arguments server;
@@ -53,9 +54,10 @@
     if (!view.ok()) {
         return view.status();
     }
-    std::vector<std::string> subtrees = subtrees_of(*documents);
-    const auto& named = arguments.subtrees.getValue();
-    subtrees.insert(subtrees.end(), named.begin(), named.end());
+    std::vector<std::string> subtrees = arguments.subtrees.getValue();
+    if (subtrees.empty()) {
+        subtrees = subtrees_of(*documents);
+    }
     settings_plan plan = plan_settings(*documents, view->documents, subtrees);
     return server_plan{std::move(*view), std::move(plan)};
 }
@@ -125,23 +127,9 @@
     if (!planned.ok()) {
         return planned.status();
     }
-    if (!planned->plan.edits.empty()) {
-        json edits = json::object();
-        for (const auto& [path, text] : planned->plan.edits) {
-            edits[path] = text ? json(*text) : json(nullptr);
-        }
-        const auto checked =
-            client->call("POST", "/v1/settings/check", json{{"edits", edits}}.dump());
-        if (!checked.ok()) {
-            return checked.status();
-        }
-        if (!checked->value("ok", false)) {
-            std::string lines;
-            for (const json& item : (*checked)["findings"]) {
-                absl::StrAppend(&lines, lines.empty() ? "" : "\n", item.get<std::string>());
-            }
-            return absl::InvalidArgumentError(lines);
-        }
+    const absl::Status checked = client->check(planned->plan.edits);
+    if (!checked.ok()) {
+        return checked;
     }
     if (named.server.json_output()) {
         environment.out << to_json(*planned).dump(2) << '\n';
@@ -197,11 +185,11 @@
 }
 
 absl::Status run_get(const ctl_arguments& arguments, ctl_environment& environment) {
-    command_line line("get", "prints the documents at or below a path");
+    command_line line("get [PATH]", "prints the documents at or below a path");
     server_arguments server(line);
-    TCLAP::UnlabeledValueArg<std::string> path("PATH", "Settings path", false, "/", "PATH",
-                                               line.parser());
-    line.parse("get", arguments);
+    ctl_arguments options = arguments;
+    const std::string path = take_path(options);
+    line.parse("get", options);
     const auto client = server.connect(environment);
     if (!client.ok()) {
         return client.status();
@@ -212,12 +200,12 @@
     }
     std::map<std::string, std::string> shown;
     for (const auto& [name, text] : view->documents) {
-        if (name.starts_with(path.getValue())) {
+        if (name.starts_with(path)) {
             shown[name] = text;
         }
     }
     if (shown.empty()) {
-        return absl::NotFoundError(absl::StrCat("no document at ", path.getValue()));
+        return absl::NotFoundError(absl::StrCat("no document at ", path));
     }
     if (server.json_output()) {
         environment.out << json{{"revision", view->at.value()}, {"documents", shown}}.dump(2)
--- a/src/ctl/settings_plan.cc
+++ b/src/ctl/settings_plan.cc
@@ -32,6 +32,9 @@
                             const std::vector<std::string>& subtrees) {
     settings_plan plan;
     for (const auto& [path, text] : wanted) {
+        if (!lies_in(path, subtrees)) {
+            continue;
+        }
         const auto old = server.find(path);
         if (old == server.end()) {
             plan.added.push_back(path);
--- a/src/ctl/settings_plan.h
+++ b/src/ctl/settings_plan.h
@@ -22,7 +22,7 @@
 /// The subtrees that the documents lie in: `/operators/`, and `/teams/TEAM/` of each team.
 std::vector<std::string> subtrees_of(const settings_documents& documents);
 
-/// Compares the two; documents of the server are removed only inside `subtrees`.
+/// Compares what lies in `subtrees`; nothing else is written or removed.
 settings_plan plan_settings(const settings_documents& wanted, const settings_documents& server,
                             const std::vector<std::string>& subtrees);
 
