--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -1,6 +1,6 @@
 #include "jujubetide/settings/process_settings.h"
 
-#include "settings/yaml_reader.h"
+#include "settings/process_reader.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -17,7 +17,10 @@
 constexpr millis most_lifetime{3'600'000};
 constexpr millis least_poll{100};
 
-void read_fields(yaml_reader& reader, process_settings& settings) {
+} // namespace
+
+process_settings read_process(yaml_reader& reader) {
+    process_settings settings;
     reader.id("node", settings.node, presence::required);
     reader.id("host", settings.host, presence::required);
     reader.id("failure_domain", settings.failure_domain, presence::required);
@@ -34,10 +37,9 @@
     reader.key_hash("bootstrap_operator_key_sha256", settings.bootstrap_operator_key_sha256,
                     presence::optional);
     reader.end();
+    return settings;
 }
 
-} // namespace
-
 absl::StatusOr<process_settings> load_process_settings(const std::string& file) {
     const std::ifstream input(file);
     if (!input) {
@@ -50,7 +52,7 @@
     const YAML::Node map = parse_yaml_map(text.str(), file, found);
     if (map.IsMap()) {
         yaml_reader reader(map, file, "", found);
-        read_fields(reader, settings);
+        settings = read_process(reader);
     }
     if (!found.empty()) {
         return found.to_status();
--- a/tests/settings/settings_store_test.cc
+++ b/tests/settings/settings_store_test.cc
@@ -135,6 +135,9 @@
     CHECK(outside.status().code() == absl::StatusCode::kPermissionDenied);
     CHECK_THAT(std::string(outside.status().message()),
                Catch::Contains("/teams/dunajsky/services/x"));
+    const auto alike = started.store.apply(
+        change_of("c7", 3, {{"/teams/frio2/services/x", service_text("v1")}}, "bela"));
+    CHECK(alike.status().code() == absl::StatusCode::kPermissionDenied);
     const auto unknown = started.store.apply(change_of("c5", 3, {{service_path, ""}}, "carla"));
     CHECK(unknown.status().code() == absl::StatusCode::kPermissionDenied);
     const auto lockout =
