--- a/include/jujubetide/blackboard/move_board.h
+++ b/include/jujubetide/blackboard/move_board.h
@@ -32,15 +32,18 @@
     wall_time ended{};
 };
 
-/// Joins two records of the same move: a final state wins, `taken_back` before `done` never meets
-/// it because only the table makes a move `done`; otherwise the higher step wins.
+/// Joins two records of the same move: `taken_back` wins over `done`, both over any other state,
+/// and otherwise the higher step wins; equal steps go by the remaining fields. Commutative,
+/// associative and idempotent. A node that took the version back before it heard that the table had
+/// made the move `done` wins everywhere, and the holder of the move's lease writes that to the
+/// table.
 version_move join_moves(const version_move& a, const version_move& b);
 
 /// The version moves that a node knows of, one for each service. Thread-safe, in shards.
 class move_board {
 public:
-    /// Joins the record with what is known of its move; a newer move of a service replaces an ended
-    /// one. Returns whether anything changed.
+    /// Joins the record with what is known of its move; a newer move of a service, by start and
+    /// then by id, replaces an older one. Returns whether anything changed.
     bool merge(const version_move& record);
     [[nodiscard]] std::optional<version_move> of_service(const service_id& service) const;
     [[nodiscard]] std::vector<version_move> all() const;
--- a/src/blackboard/move_board.cc
+++ b/src/blackboard/move_board.cc
@@ -1,6 +1,7 @@
 #include "jujubetide/blackboard/move_board.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace jujubetide {
 namespace {
@@ -9,17 +10,35 @@
     return state == move_state::done || state == move_state::taken_back;
 }
 
-bool same(const version_move& a, const version_move& b) {
-    return a.id == b.id && a.state == b.state && a.step == b.step && a.share == b.share;
+/// The final state, or `planned` for every state that may still change.
+move_state final_state(const version_move& record) {
+    return is_final(record.state) ? record.state : move_state::planned;
+}
+
+/// All fields but the final state, the most significant first.
+auto fields(const version_move& record) {
+    return std::tie(record.step, record.state, record.ended, record.share, record.evidence,
+                    record.due, record.from, record.to, record.service, record.start, record.id);
+}
+
+/// A total order over every field: records that differ at all are joined to the same one at every
+/// node, also when two nodes took the version back at the same step on different evidence.
+bool precedes(const version_move& a, const version_move& b) {
+    if (final_state(a) != final_state(b)) {
+        return final_state(a) < final_state(b);
+    }
+    return fields(a) < fields(b);
+}
+
+/// Whether `a` is a newer move of the service than `b`; moves that start together go by their ids.
+bool newer_move(const version_move& a, const version_move& b) {
+    return std::tie(a.start, a.id) > std::tie(b.start, b.id);
 }
 
 } // namespace
 
 version_move join_moves(const version_move& a, const version_move& b) {
-    if (a.state != b.state && (is_final(a.state) || is_final(b.state))) {
-        return a.state > b.state ? a : b;
-    }
-    return a.step >= b.step ? a : b;
+    return precedes(a, b) ? b : a;
 }
 
 bool move_board::merge(const version_move& record) {
@@ -28,17 +47,12 @@
             known = record;
             return true;
         }
-        if (known.id != record.id) {
-            if (record.start <= known.start) {
-                return false;
-            }
+        const bool replaced =
+            known.id == record.id ? precedes(known, record) : newer_move(record, known);
+        if (replaced) {
             known = record;
-            return true;
         }
-        const version_move joined = join_moves(known, record);
-        const bool changed = !same(joined, known);
-        known = joined;
-        return changed;
+        return replaced;
     });
 }
 
@@ -56,6 +70,9 @@
 
 bool move_board::take_back(const service_id& service, const move_id& move,
                            const std::string& evidence, wall_time now) {
+    if (!moves_.get(service)) {
+        return false;
+    }
     return moves_.update(service, [&](version_move& known) {
         if (known.id != move || is_final(known.state)) {
             return false;
--- /dev/null
+++ b/src/membership/overlay.cc
@@ -0,0 +1,99 @@
+// A k-out random graph with k = 3 is connected with high probability, also when a failure domain or
+// the links between regions are lost, since each node's choices lie in different scopes. Whether a
+// member has chosen this node is found without computing all of its choices: the scan of a scope
+// stops at the first candidate with a higher weight, which takes about ln(n) steps on average.
+#include "jujubetide/membership/overlay.h"
+
+#include "jujubetide/base/rendezvous_hash.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+
+namespace jujubetide {
+namespace {
+
+enum class scope : std::uint8_t { domain, region, world, all };
+constexpr std::array choice_scopes{scope::domain, scope::region, scope::world};
+
+struct candidate {
+    const member* record = nullptr;
+    std::uint64_t hash = 0;
+};
+
+bool in_scope(const member& self, const member& other, scope wanted) {
+    switch (wanted) {
+    case scope::domain:
+        return other.failure_domain == self.failure_domain;
+    case scope::region:
+        return other.region == self.region && other.failure_domain != self.failure_domain;
+    case scope::world:
+        return other.region != self.region;
+    case scope::all:
+        return true;
+    }
+    return false;
+}
+
+std::uint64_t weight_of(const candidate& chooser, const candidate& other, scope wanted) {
+    return rendezvous_weight(chooser.hash + static_cast<std::uint64_t>(wanted), other.hash);
+}
+
+/// Whether `chooser` picks `target` within a scope.
+bool picks(const std::vector<candidate>& candidates, const candidate& chooser,
+           const candidate& target, scope wanted) {
+    if (!in_scope(*chooser.record, *target.record, wanted)) {
+        return false;
+    }
+    const std::uint64_t limit = weight_of(chooser, target, wanted);
+    return std::none_of(candidates.begin(), candidates.end(), [&](const candidate& other) {
+        return other.record != chooser.record && other.record != target.record &&
+               in_scope(*chooser.record, *other.record, wanted) &&
+               weight_of(chooser, other, wanted) > limit;
+    });
+}
+
+bool scope_empty(const std::vector<candidate>& candidates, const candidate& chooser, scope wanted) {
+    return std::none_of(candidates.begin(), candidates.end(), [&](const candidate& other) {
+        return other.record != chooser.record && in_scope(*chooser.record, *other.record, wanted);
+    });
+}
+
+/// Whether `chooser` picks `target` in any of its scopes.
+bool chooses(const std::vector<candidate>& candidates, const candidate& chooser,
+             const candidate& target) {
+    bool unfilled = false;
+    for (const scope wanted : choice_scopes) {
+        if (picks(candidates, chooser, target, wanted)) {
+            return true;
+        }
+        unfilled = unfilled || scope_empty(candidates, chooser, wanted);
+    }
+    return unfilled && picks(candidates, chooser, target, scope::all);
+}
+
+} // namespace
+
+std::vector<member> choose_neighbours(const member& self, const std::vector<member>& members) {
+    std::vector<candidate> candidates;
+    candidates.reserve(members.size() + 1);
+    candidates.push_back({&self, stable_hash(self.node.str())});
+    for (const member& other : members) {
+        if (other.node != self.node) {
+            candidates.push_back({&other, stable_hash(other.node.str())});
+        }
+    }
+    const candidate own = candidates.front();
+    std::vector<member> neighbours;
+    for (const candidate& other : candidates) {
+        if (other.record != own.record &&
+            (chooses(candidates, own, other) || chooses(candidates, other, own))) {
+            neighbours.push_back(*other.record);
+        }
+    }
+    std::sort(neighbours.begin(), neighbours.end(),
+              [](const member& a, const member& b) { return a.node < b.node; });
+    return neighbours;
+}
+
+} // namespace jujubetide
--- a/tests/blackboard/boards_test.cc
+++ b/tests/blackboard/boards_test.cc
@@ -59,3 +59,27 @@
     CHECK_FALSE(board.merge(move));
     CHECK(board.of_service(move.service)->state == move_state::taken_back);
 }
+
+TEST_CASE("two nodes that took a version back on different evidence end with the same record") {
+    version_move move;
+    move.id = move_id("m1");
+    move.service = service_id("diagnosis");
+    move.state = move_state::ramp;
+    move_board first;
+    move_board second;
+    first.merge(move);
+    second.merge(move);
+    first.take_back(move.service, move.id, "errors", wall_time{});
+    second.take_back(move.service, move.id, "slow", wall_time{});
+    const version_move from_first = *first.of_service(move.service);
+    first.merge(*second.of_service(move.service));
+    second.merge(from_first);
+    CHECK(first.of_service(move.service)->evidence == second.of_service(move.service)->evidence);
+}
+
+TEST_CASE("taking back an unknown move leaves no record") {
+    move_board board;
+    CHECK_FALSE(board.take_back(service_id("diagnosis"), move_id("m1"), "errors", wall_time{}));
+    CHECK_FALSE(board.of_service(service_id("diagnosis")).has_value());
+    CHECK(board.all().empty());
+}
