--- a/src/membership/membership_state.cc
+++ b/src/membership/membership_state.cc
@@ -10,6 +10,7 @@
 #include "jujubetide/membership/overlay.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace jujubetide {
@@ -308,6 +309,7 @@
         next_heartbeat_ = now + config_.heartbeat_period;
         store_.drop_expired_hosts(with_.time.wall_now());
         send_heartbeats(effects);
+        ask_other_domains(effects);
     }
     if (now >= next_probe_) {
         next_probe_ = now + (alone() ? config_.heartbeat_period : config_.probe_period);
@@ -436,6 +438,13 @@
 
 bool membership_node::state::settings_ready() {
     const std::lock_guard lock(mutex_);
+    return update_readiness();
+}
+
+bool membership_node::state::update_readiness() {
+    if (settings_.was_ready()) {
+        return true;
+    }
     std::set<failure_domain_id> others;
     for (const auto& [node, record] : store_.members()) {
         if (node != self_.node && record.health != member_health::dead) {
@@ -445,4 +454,24 @@
     return settings_.ready(std::min(config_.settings_domains, others.size()));
 }
 
+// The neighbours of a fresh node may lie in fewer failure domains than it must hear.
+void membership_node::state::ask_other_domains(membership_effects& effects) {
+    if (update_readiness()) {
+        return;
+    }
+    std::map<failure_domain_id, std::vector<endpoint>> silent;
+    for (const auto& [node, record] : store_.members()) {
+        if (node != self_.node && record.health == member_health::alive &&
+            !settings_.has_told(record.failure_domain)) {
+            silent[record.failure_domain].push_back(record.peer_address);
+        }
+    }
+    std::size_t asked = 0;
+    for (const auto& [domain, peers] : silent) {
+        if (asked++ < config_.settings_domains) {
+            send_heartbeat(peers[with_.random.below(peers.size())], true, effects);
+        }
+    }
+}
+
 } // namespace jujubetide
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -68,6 +68,8 @@
     void send_heartbeats(membership_effects& effects);
     void send_heartbeat(const endpoint& to, bool answer_wanted, membership_effects& effects) const;
     void probe(membership_effects& effects);
+    void ask_other_domains(membership_effects& effects);
+    [[nodiscard]] bool update_readiness();
     void flush(membership_effects& effects);
     void send_facts(const node_id& to, wire::facts_message message, membership_effects& effects);
     [[nodiscard]] bool is_neighbour(const node_id& node) const;
--- a/src/membership/settings_sync.h
+++ b/src/membership/settings_sync.h
@@ -43,6 +43,10 @@
     /// The documents at this revision were refused by the parser; they are not asked for again.
     void on_refused(revision at) { refused_ = at; }
 
+    [[nodiscard]] bool was_ready() const { return ready_; }
+    [[nodiscard]] bool has_told(const failure_domain_id& domain) const {
+        return told_domains_.contains(domain);
+    }
     /// Whether the node may serve: it has settings, and peers in `domains` different failure
     /// domains, or as many as there are, have told no newer ones. Once true, it stays.
     bool ready(std::size_t domains);
--- a/tests/membership/membership_node_test.cc
+++ b/tests/membership/membership_node_test.cc
@@ -121,10 +121,12 @@
     REQUIRE(cluster.run_until([&] { return cluster.converged(); }, 30s) >= 0us);
     cluster.processes[0]->node.settings(snapshot_at(cluster, 5));
     REQUIRE(cluster.run_until([&] { return all_at(cluster, 5); }, 11s) >= 0us);
-    auto& fresh = cluster.add(20);
-    CHECK_FALSE(fresh.node.settings_ready());
-    CHECK(cluster.run_until([&] { return fresh.node.settings_ready(); }, 30s) >= 0us);
-    CHECK(fresh.board.settings.current()->at() == revision(5));
+    for (std::size_t number = 20; number < 30; ++number) {
+        auto& fresh = cluster.add(number);
+        CHECK_FALSE(fresh.node.settings_ready());
+        CHECK(cluster.run_until([&] { return fresh.node.settings_ready(); }, 30s) >= 0us);
+        CHECK(fresh.board.settings.current()->at() == revision(5));
+    }
 }
 
 TEST_CASE("mutated messages are refused or joined and never end the process") {
