Spread loads through watchers, collectors and a tree

Each backend server is watched by one node of its failure domain (a second steps in after 8 s without reports), one collector in each domain packs a batch a second, batches go down a tree of fan-out four, and a digest of sequence numbers to one neighbour a second repairs gaps with one merged batch for each stream.

--- a/src/membership/membership_node.cc
+++ b/src/membership/membership_node.cc
@@ -65,6 +65,14 @@
     return state_->settings_ready();
 }
 
+std::vector<backend_server_id> membership_node::watched_servers() const {
+    return state_->watched_servers();
+}
+
+void membership_node::report_load(const backend_server_id& id, const load_report& load) {
+    state_->report_load(id, load);
+}
+
 void membership_node::do_leaving_host(const host_id& host) {
     membership_effects effects;
     state_->publish_host(host, effects);
--- a/src/membership/membership_state.cc
+++ b/src/membership/membership_state.cc
@@ -24,7 +24,7 @@
 membership_node::state::state(const member& self, std::vector<endpoint> seeds,
                               const dependencies& with, const membership_config& config)
     : with_(with), config_(config), self_(self), seeds_(std::move(seeds)), store_(with.board),
-      flood_(store_), detector_(config.failures) {
+      flood_(store_), detector_(config.failures), loads_(with.board.backends, self) {
     const time_point now = with_.time.now();
     next_heartbeat_ = now;
     next_probe_ = now;
@@ -42,6 +42,8 @@
         return on_heartbeat(message, effects);
     case peer_message_kind::facts:
         return on_facts(message, effects);
+    case peer_message_kind::loads:
+        return on_loads(message, effects);
     case peer_message_kind::digest:
         return on_digest(message, effects);
     case peer_message_kind::settings_fetch:
@@ -106,10 +108,67 @@
     }
     if (!digest->fact_buckets.empty()) {
         send_facts(message.from, flood_.differing(digest->fact_buckets), effects);
+        return absl::OkStatus();
+    }
+    const member* sender = store_.find_member(message.from);
+    if (sender == nullptr) {
+        return absl::OkStatus();
+    }
+    for (const wire::loads_message& lacking :
+         loads_.missing(digest->load_streams, with_.time.now())) {
+        effects.messages.push_back(
+            {sender->peer_address, peer_message_kind::loads, wire::encode(lacking)});
+    }
+    return absl::OkStatus();
+}
+
+absl::Status membership_node::state::on_loads(const peer_message& message,
+                                              membership_effects& effects) {
+    const auto loads = wire::decode<wire::loads_message>(message.body);
+    if (!loads.ok()) {
+        return loads.status();
     }
+    const auto deliveries = loads_.receive(*loads, with_.time.now());
+    if (!deliveries.ok()) {
+        return deliveries.status();
+    }
+    send_loads(*deliveries, effects);
     return absl::OkStatus();
 }
 
+void membership_node::state::send_loads(const std::vector<load_delivery>& deliveries,
+                                        membership_effects& effects) {
+    for (const load_delivery& delivery : deliveries) {
+        effects.messages.push_back(
+            {delivery.to, peer_message_kind::loads, wire::encode(delivery.message)});
+    }
+}
+
+void membership_node::state::spread_loads(membership_effects& effects) {
+    send_loads(loads_.round(with_.time.now()), effects);
+    if (neighbours_.empty()) {
+        return;
+    }
+    wire::digest_message digest;
+    digest.load_streams = loads_.digest();
+    if (digest.load_streams.empty() && settings_.at() == revision()) {
+        return;
+    }
+    const member& peer = neighbours_[with_.random.below(neighbours_.size())];
+    effects.messages.push_back(
+        {peer.peer_address, peer_message_kind::digest, wire::encode(digest)});
+}
+
+std::vector<backend_server_id> membership_node::state::watched_servers() const {
+    const std::lock_guard lock(mutex_);
+    return loads_.watched(with_.time.now());
+}
+
+void membership_node::state::report_load(const backend_server_id& id, const load_report& load) {
+    const std::lock_guard lock(mutex_);
+    loads_.report(id, load, with_.time.now(), with_.time.wall_now());
+}
+
 absl::Status membership_node::state::on_settings(const peer_message& message,
                                                  membership_effects& effects) {
     const auto settings = wire::decode<wire::settings_message>(message.body);
@@ -287,6 +346,8 @@
         }
     }
     detector_.set_neighbours(ids, with_.time.now());
+    std::erase_if(candidates, [](const member& record) { return record.leaving; });
+    loads_.set_members(std::move(candidates));
 }
 
 void membership_node::state::take_settings_from_board() {
@@ -295,6 +356,7 @@
         return;
     }
     settings_.on_snapshot(snapshot);
+    loads_.set_settings(snapshot);
     self_.settings = snapshot->at();
     change_self();
 }
@@ -310,6 +372,7 @@
         store_.drop_expired_hosts(with_.time.wall_now());
         send_heartbeats(effects);
         ask_other_domains(effects);
+        spread_loads(effects);
     }
     if (now >= next_probe_) {
         next_probe_ = now + (alone() ? config_.heartbeat_period : config_.probe_period);
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership/fact_flood.h"
+#include "membership/load_spread.h"
 #include "membership/settings_sync.h"
 
 #include "jujubetide/membership/membership_node.h"
@@ -45,12 +46,15 @@
     [[nodiscard]] const node_id& self() const { return self_.node; }
     [[nodiscard]] std::vector<node_id> neighbours() const;
     [[nodiscard]] bool settings_ready();
+    [[nodiscard]] std::vector<backend_server_id> watched_servers() const;
+    void report_load(const backend_server_id& id, const load_report& load);
     [[nodiscard]] const dependencies& with() const { return with_; }
 
 private:
     absl::Status on_heartbeat(const peer_message& message, membership_effects& effects);
     absl::Status on_facts(const peer_message& message, membership_effects& effects);
     absl::Status on_digest(const peer_message& message, membership_effects& effects);
+    absl::Status on_loads(const peer_message& message, membership_effects& effects);
     absl::Status on_settings(const peer_message& message, membership_effects& effects);
 
     void after_facts(const node_id& from, fact_flood::received& received,
@@ -67,6 +71,9 @@
     void take_settings_from_board();
     void send_heartbeats(membership_effects& effects);
     void send_heartbeat(const endpoint& to, bool answer_wanted, membership_effects& effects) const;
+    void spread_loads(membership_effects& effects);
+    static void send_loads(const std::vector<load_delivery>& deliveries,
+                           membership_effects& effects);
     void probe(membership_effects& effects);
     void ask_other_domains(membership_effects& effects);
     [[nodiscard]] bool update_readiness();
@@ -84,6 +91,7 @@
     fact_flood flood_;
     failure_detector detector_;
     settings_sync settings_;
+    load_spread loads_;
     std::vector<member> neighbours_;
     std::uint64_t neighbours_version_ = 0;
     /// Heartbeats in a row whose hash of all facts differed from the own one.
