--- a/src/entry/answer_log.h
+++ b/src/entry/answer_log.h
@@ -43,9 +43,7 @@
         std::vector<std::string> pieces;
         answer_end end;
 
-        [[nodiscard]] bool running() const {
-            return std::holds_alternative<answer_running>(end);
-        }
+        [[nodiscard]] bool running() const { return std::holds_alternative<answer_running>(end); }
     };
 
     explicit answer_log(std::vector<std::string> pieces) : pieces_(std::move(pieces)) {}
--- a/src/entry/answer_writer.cc
+++ b/src/entry/answer_writer.cc
@@ -27,8 +27,7 @@
     } else {
         choice["text"] = "";
     }
-    return absl::StrCat("data: ", dump(chunk(record, std::move(choice))),
-                        "\n\ndata: [DONE]\n\n");
+    return absl::StrCat("data: ", dump(chunk(record, std::move(choice))), "\n\ndata: [DONE]\n\n");
 }
 
 } // namespace
@@ -45,8 +44,8 @@
     } else {
         choice["text"] = piece;
     }
-    return absl::StrCat("id: ", offset.value(),
-                        "\ndata: ", dump(chunk(record, std::move(choice))), "\n\n");
+    return absl::StrCat("id: ", offset.value(), "\ndata: ", dump(chunk(record, std::move(choice))),
+                        "\n\n");
 }
 
 std::string end_events(const hand_over_record& record, const answer_end& end, piece_offset next) {
--- a/src/entry/entry_list.h
+++ b/src/entry/entry_list.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "entry/entry_parts.h"
+
 #include "jujubetide/base/endpoint.h"
 #include "jujubetide/blackboard/member_board.h"
-#include "entry/entry_parts.h"
 
 #include <string>
 #include <vector>
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -13,9 +13,8 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-prometheus::Family<prometheus::Counter>& counters(prometheus::Registry& registry,
-                                                  const std::string& name,
-                                                  const std::string& help) {
+prometheus::Family<prometheus::Counter>&
+counters(prometheus::Registry& registry, const std::string& name, const std::string& help) {
     return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
 }
 
@@ -24,9 +23,8 @@
     return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
 }
 
-prometheus::Family<prometheus::Histogram>& histograms(prometheus::Registry& registry,
-                                                      const std::string& name,
-                                                      const std::string& help) {
+prometheus::Family<prometheus::Histogram>&
+histograms(prometheus::Registry& registry, const std::string& name, const std::string& help) {
     return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
 }
 
--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -52,12 +52,13 @@
 absl::StatusOr<std::unique_ptr<entry_server>> entry_server::make(const entry_parts& parts,
                                                                  const entry_options& options) {
     std::unique_ptr<entry_server> made(new entry_server(parts, options));
-    auto http = http_server::make(
-        options.http, [&made](httplib::Server& routes) { made->add_routes(routes); });
+    auto http = http_server::make(options.http,
+                                  [&made](httplib::Server& routes) { made->add_routes(routes); });
     if (!http.ok()) {
         return http.status();
     }
     made->http_ = *std::move(http);
+    made->options_.self.public_address = made->http_->address();
     return made;
 }
 
@@ -67,9 +68,8 @@
     parts_.peers.set_handler(peer_message_kind::handover, [this](const peer_message& message) {
         return models_.take_over(message.body, draining_);
     });
-    sweep_timer_ = parts_.timers.every(sweep_period, sweep_period, [this] {
-        models_.requests().sweep(parts_.time.now());
-    });
+    sweep_timer_ = parts_.timers.every(sweep_period, sweep_period,
+                                       [this] { models_.requests().sweep(parts_.time.now()); });
 }
 
 entry_server::~entry_server() {
@@ -114,11 +114,7 @@
 }
 
 void entry_server::add_routes(httplib::Server& routes) {
-    routes.set_error_handler(
-        [](const httplib::Request& request, httplib::Response& response) {
-            explain_error(request, response);
-            return httplib::Server::HandlerResponse::Handled;
-        });
+    routes.set_error_handler(httplib::Server::Handler(explain_error));
     add_service_routes(routes);
     add_state_routes(routes);
 }
@@ -148,10 +144,9 @@
 }
 
 void entry_server::add_state_routes(httplib::Server& routes) {
-    routes.Get("/v1/entries",
-               [this](const httplib::Request& request, httplib::Response& response) {
-                   list_entries(request, response);
-               });
+    routes.Get("/v1/entries", [this](const httplib::Request& request, httplib::Response& response) {
+        list_entries(request, response);
+    });
     routes.Get("/healthz", [](const httplib::Request&, httplib::Response& response) {
         response.set_content("ok\n", "text/plain");
     });
@@ -217,8 +212,8 @@
     nlohmann::json entries = nlohmann::json::array();
     for (const member& one :
          entries_for(parts_.boards.members, options_.self, request.remote_addr)) {
-        entries.push_back({{"address", one.public_address.str()},
-                           {"failure_domain", one.failure_domain.str()}});
+        entries.push_back(
+            {{"address", one.public_address.str()}, {"failure_domain", one.failure_domain.str()}});
     }
     const nlohmann::json body{{"entries", std::move(entries)},
                               {"lifetime_ms", options_.entries_lifetime.count()}};
--- a/src/entry/model_handler.cc
+++ b/src/entry/model_handler.cc
@@ -126,9 +126,8 @@
     const route_settings* route = route_of(service, call.model);
     const route_id route_name = route == nullptr ? route_id() : route->id;
     parts_.retries.on_request(service.id, service.retry_percent);
-    const route_query query =
-        first_query(caller, call, service,
-                    parts_.versions.select(service, route_name, caller.request));
+    const route_query query = first_query(
+        caller, call, service, parts_.versions.select(service, route_name, caller.request));
     const absl::StatusOr<route_choice> choice =
         parts_.routes.choose(query, caller.settings->servers_of(service.id));
     if (!choice.ok()) {
@@ -145,8 +144,7 @@
                                      query.deadline,
                                      *choice,
                                      admission};
-    auto running =
-        std::make_shared<running_request>(parts_, self_, metrics_, std::move(options));
+    auto running = std::make_shared<running_request>(parts_, self_, metrics_, std::move(options));
     requests_.start(running);
     return admitted_request{std::move(running), call.stream};
 }
@@ -258,8 +256,8 @@
     const time_point now = parts_.time.now();
     const time_point deadline = now + record->time_left;
     parts_.log.write(request_taken_over, {{"request", record->request.str()}});
-    running_request::options options{
-        *std::move(record), settings, now, deadline, std::nullopt, std::nullopt};
+    running_request::options options{*std::move(record), settings,     now,
+                                     deadline,           std::nullopt, std::nullopt};
     (void)requests_.start(
         std::make_shared<running_request>(parts_, self_, metrics_, std::move(options)));
     return std::string("taken");
--- a/src/entry/plain_handler.cc
+++ b/src/entry/plain_handler.cc
@@ -124,9 +124,13 @@
         return;
     }
     parts_.retries.on_request(service->id, service->retry_percent);
-    plain_request forwarded{{},     caller.request, request.method,
-                            target, request.get_header_value("Content-Type"),
-                            request.body, millis{0}};
+    plain_request forwarded{{},
+                            caller.request,
+                            request.method,
+                            target,
+                            request.get_header_value("Content-Type"),
+                            request.body,
+                            millis{0}};
     const plain_call one{caller, *service, route, std::move(forwarded),
                          caller.deadline_for(*service)};
     const bool claimed = !route->idempotent && !caller.key.empty();
@@ -184,8 +188,8 @@
     while (step.kind == plain_step_kind::choose) {
         const version_id version =
             parts_.versions.select(call.service, call.route->id, call.caller.request);
-        const route_query query = make_query(call.caller, call.service, version,
-                                             machine.attempts(), parts_.time.now(), call.deadline);
+        const route_query query = make_query(call.caller, call.service, version, machine.attempts(),
+                                             parts_.time.now(), call.deadline);
         const auto choice =
             parts_.routes.choose(query, call.caller.settings->servers_of(call.service.id));
         if (!choice.ok()) {
@@ -232,8 +236,8 @@
     constexpr int first_server_error = 500;
     const bool failed = result.outcome == plain_outcome::unknown ||
                         (answered && result.status >= first_server_error);
-    parts_.versions.record({call.service.id, call.route->id, query.version, server->id, failed,
-                            now - sent_at, now});
+    parts_.versions.record(
+        {call.service.id, call.route->id, query.version, server->id, failed, now - sent_at, now});
     return result;
 }
 
--- a/src/entry/refusals.cc
+++ b/src/entry/refusals.cc
@@ -37,8 +37,7 @@
 problem refusal_of(const refuse_request& action) {
     problem error = machine_problem(action);
     error.outcome = action.may_have_run ? run_outcome::unknown : run_outcome::not_run;
-    error.retry_after =
-        action.retry_after > millis{0} ? action.retry_after : default_retry_after;
+    error.retry_after = action.retry_after > millis{0} ? action.retry_after : default_retry_after;
     return error;
 }
 
@@ -61,8 +60,7 @@
 }
 
 problem no_server_refusal() {
-    return unavailable("no_server", "no backend server can take the request",
-                       default_retry_after);
+    return unavailable("no_server", "no backend server can take the request", default_retry_after);
 }
 
 problem draining_refusal(std::vector<std::string> other_entries) {
--- a/src/entry/running_request.cc
+++ b/src/entry/running_request.cc
@@ -16,7 +16,6 @@
 namespace jujubetide {
 namespace {
 
-
 request_start make_start(const running_request::options& given) {
     return {given.record.request, given.deadline, given.record.pieces, given.record.next_attempt,
             given.record.may_have_run};
@@ -242,9 +241,9 @@
 void running_request::apply(const refuse_request& action) {
     problem error = refusal_of(action);
     const std::string outcome(to_string(error.outcome));
-    parts_.log.write(request_refused, {{"request", given_.record.caller_request_id},
-                                       {"code", error.code},
-                                       {"outcome", outcome}});
+    parts_.log.write(
+        request_refused,
+        {{"request", given_.record.caller_request_id}, {"code", error.code}, {"outcome", outcome}});
     finish(answer_refused{std::move(error)}, outcome);
 }
 
--- a/src/entry/running_request.h
+++ b/src/entry/running_request.h
@@ -119,5 +119,4 @@
     std::thread thread_;
 };
 
-
 } // namespace jujubetide
--- a/src/entry/running_requests.cc
+++ b/src/entry/running_requests.cc
@@ -29,9 +29,8 @@
 
 std::vector<std::shared_ptr<running_request>> running_requests::all() const {
     std::vector<std::shared_ptr<running_request>> list;
-    requests_.for_each([&list](const request_id& /*id*/, const auto& request) {
-        list.push_back(request);
-    });
+    requests_.for_each(
+        [&list](const request_id& /*id*/, const auto& request) { list.push_back(request); });
     return list;
 }
 
