--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -35,6 +35,8 @@
 
     [[nodiscard]] const endpoint& address() const { return options_.self.public_address; }
     entry_metrics& metrics() { return metrics_; }
+    /// Requests to model services whose answer has no end yet.
+    [[nodiscard]] std::size_t running_requests() { return models_.requests().running_count(); }
     /// Takes no new work and leaves the list of entries.
     void begin_drain();
     /// Ends a planned stop: waits until `grace` has passed for running answers to end, then hands
--- a/src/entry/running_request.cc
+++ b/src/entry/running_request.cc
@@ -201,8 +201,10 @@
     parts_.routes.on_finished(query_, choice_, last_result_.cached_tokens, completed);
     if (completed) {
         parts_.boards.backends.on_success(choice_.server);
-    } else if (is_server_fault(action.end) || could_not_be_reached(action.end)) {
-        parts_.boards.backends.on_failure(choice_.server, now(), avoid_after_failure);
+    } else if (is_server_fault(action.end) || action.end == attempt_end::not_run) {
+        const bool not_run = action.end == attempt_end::not_run;
+        parts_.boards.backends.on_failure(choice_.server, now(),
+                                          not_run ? avoid_after_not_run : avoid_after_failure);
         parts_.log.write(attempt_failed, {{"attempt", action.attempt.str()},
                                           {"server", server->id.str()},
                                           {"end", std::string(name_of(action.end))},
@@ -215,11 +217,6 @@
     }
 }
 
-// An engine that refuses for load and says when to come back has not failed.
-bool running_request::could_not_be_reached(attempt_end end) const {
-    return end == attempt_end::not_run && last_result_.retry_after == millis{0};
-}
-
 void running_request::apply(const deliver_piece& action) {
     if (!attempt_had_piece_) {
         attempt_had_piece_ = true;
--- a/src/entry/running_request.h
+++ b/src/entry/running_request.h
@@ -91,7 +91,6 @@
     absl::StatusOr<route_choice> choose(const choose_server& wish);
     /// Selects the version anew while nothing of the answer exists.
     void update_version();
-    [[nodiscard]] bool could_not_be_reached(attempt_end end) const;
     [[nodiscard]] route_query make_query(const choose_server& wish) const;
     [[nodiscard]] const backend_server_settings* server_of(const route_choice& choice) const;
     [[nodiscard]] hand_over_record current_record() const;
--- /dev/null
+++ b/src/entry/settings_poller.cc
@@ -0,0 +1,39 @@
+#include "entry/settings_poller.h"
+
+#include "entry/entry_events.h"
+
+namespace jujubetide {
+
+settings_poller::settings_poller(entry_parts& parts, random_source& random, millis period)
+    : parts_(parts), random_(random), period_(period), store_(parts.platform_table),
+      thread_([this] { return poll(); }) {}
+
+micros settings_poller::poll() {
+    const absl::Status loaded = load();
+    if (!loaded.ok()) {
+        parts_.log.write(settings_not_loaded, {{"error", std::string(loaded.message())}});
+    }
+    const bool has_settings = parts_.boards.settings.current() != nullptr;
+    const millis base = has_settings ? period_ : std::min(period_, first_load_period);
+    const double factor = 1.0 - jitter + 2.0 * jitter * random_.uniform();
+    return std::chrono::duration_cast<micros>(micros(base) * factor);
+}
+
+absl::Status settings_poller::load() {
+    const snapshot_ptr current = parts_.boards.settings.current();
+    const absl::StatusOr<revision> newest = store_.newest();
+    if (!newest.ok()) {
+        return newest.status();
+    }
+    if (current != nullptr && *newest <= current->at()) {
+        return absl::OkStatus();
+    }
+    const absl::StatusOr<snapshot_ptr> loaded = store_.load();
+    if (!loaded.ok()) {
+        return loaded.status();
+    }
+    parts_.facts.settings(*loaded);
+    return absl::OkStatus();
+}
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/entry/settings_poller.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "entry/entry_parts.h"
+#include "entry/periodic_thread.h"
+
+#include "jujubetide/base/random_source.h"
+#include "jujubetide/settings/settings_store.h"
+
+namespace jujubetide {
+
+/// Reads newer settings from the table, slowly and with jitter once there are some; until then each
+/// second. Peers bring changes faster.
+class settings_poller {
+public:
+    /// Part by which a wait may be longer or shorter.
+    static constexpr double jitter = 0.25;
+    static constexpr millis first_load_period{1'000};
+
+    /// All references outlive the poller.
+    settings_poller(entry_parts& parts, random_source& random, millis period);
+
+private:
+    micros poll();
+    absl::Status load();
+
+    entry_parts& parts_;
+    random_source& random_;
+    millis period_;
+    settings_store store_;
+    periodic_thread thread_;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/tests/entry/hand_over_test.cc
@@ -0,0 +1,113 @@
+#include "entry_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+namespace {
+
+constexpr std::uint32_t pieces = 60;
+
+void slow_down(entry_fixture& system) {
+    standin_engine_knobs slow;
+    slow.between_pieces = millis{20};
+    for (const auto& engine : system.engines) {
+        engine->set_knobs(slow);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a stopping entry hands a stream over and the caller reads one unbroken answer") {
+    entry_fixture system(2, 3);
+    slow_down(system);
+    std::thread stop;
+    const caller_answer answer = system.caller(0).stream("chat", "p", pieces, [&](std::size_t n) {
+        if (n == 5) {
+            stop = std::thread(
+                [&system] { CHECK(system.entries[0]->server().drain(millis{0}, millis{20'000})); });
+        }
+        return true;
+    });
+    stop.join();
+    CHECK(answer.whole);
+    CHECK(answer.moves == 1);
+    CHECK(answer.text == standin_answer("p", pieces));
+}
+
+TEST_CASE("a caller that waits for a whole answer is sent on by 303") {
+    entry_fixture system(2, 2);
+    slow_down(system);
+    caller_answer answer;
+    std::thread call([&] { answer = system.caller(0).whole("chat", "p", pieces); });
+    CHECK(wait_until([&system] { return system.running_engines() == 1; }));
+    CHECK(system.entries[0]->server().drain(millis{0}, millis{20'000}));
+    call.join();
+    CHECK(answer.whole);
+    CHECK(answer.moves == 1);
+    CHECK(answer.text == standin_answer("p", pieces));
+}
+
+TEST_CASE("a second stop during the first hand-over moves the request on") {
+    entry_fixture system(2, 3);
+    slow_down(system);
+    std::vector<std::thread> stops;
+    const auto stop_entry = [&](std::size_t entry) {
+        stops.emplace_back([&system, entry] {
+            CHECK(system.entries[entry]->server().drain(millis{0}, millis{20'000}));
+        });
+    };
+    const caller_answer answer = system.caller(0).stream("chat", "p", pieces, [&](std::size_t n) {
+        if (n == 5) {
+            stop_entry(0);
+        }
+        if (n == 20) {
+            // Whichever of the others took it.
+            system.entries[1]->server().begin_drain();
+            stop_entry(1);
+        }
+        return true;
+    });
+    for (std::thread& stop : stops) {
+        stop.join();
+    }
+    CHECK(answer.whole);
+    CHECK(answer.moves >= 1);
+    CHECK(answer.text == standin_answer("p", pieces));
+}
+
+TEST_CASE("a lost reply to a hand-over is settled by asking again") {
+    entry_fixture system(2, 2);
+    slow_down(system);
+    system.entries[0]->peers.lose_replies(1);
+    std::thread stop;
+    const caller_answer answer = system.caller(0).stream("chat", "p", pieces, [&](std::size_t n) {
+        if (n == 5) {
+            stop = std::thread(
+                [&system] { CHECK(system.entries[0]->server().drain(millis{0}, millis{20'000})); });
+        }
+        return true;
+    });
+    stop.join();
+    CHECK(answer.whole);
+    CHECK(answer.moves == 1);
+    CHECK(answer.text == standin_answer("p", pieces));
+    CHECK(system.entries[1]->server().running_requests() == 0);
+}
+
+TEST_CASE("without a peer that takes it a request ends at its own node") {
+    entry_fixture system(2, 1);
+    slow_down(system);
+    std::thread stop;
+    const caller_answer answer = system.caller(0).stream("chat", "p", 20, [&](std::size_t n) {
+        if (n == 5) {
+            stop = std::thread(
+                [&system] { CHECK(system.entries[0]->server().drain(millis{0}, millis{30'000})); });
+        }
+        return true;
+    });
+    stop.join();
+    CHECK(answer.whole);
+    CHECK(answer.moves == 0);
+    CHECK(answer.text == standin_answer("p", 20));
+}
