--- a/src/entry/plain_handler.cc
+++ b/src/entry/plain_handler.cc
@@ -1,5 +1,6 @@
 #include "entry/plain_handler.h"
 
+#include "entry/avoidance.h"
 #include "entry/entry_events.h"
 #include "entry/refusals.h"
 
@@ -227,7 +228,7 @@
     if (answered) {
         parts_.boards.backends.on_success(server->id);
     } else {
-        parts_.boards.backends.on_failure(server->id, now, avoid_after_failure);
+        record_failure(parts_.boards.backends, server->id, now);
         parts_.log.write(attempt_failed, {{"attempt", attempt.str()},
                                           {"server", server->id.str()},
                                           {"end", "no_answer"},
--- a/src/entry/refusals.h
+++ b/src/entry/refusals.h
@@ -12,11 +12,6 @@
 /// When callers should come back where nothing better is known.
 inline constexpr millis default_retry_after{1'000};
 
-/// How long a server gets no new work from this node after it failed an attempt, or did not take
-/// it.
-inline constexpr micros avoid_after_failure{1'000'000};
-inline constexpr micros avoid_after_not_run{200'000};
-
 problem make_problem(int status, std::string code, std::string detail);
 /// The final answer to a request that its machine gave up.
 problem refusal_of(const refuse_request& action);
--- a/src/entry/running_request.cc
+++ b/src/entry/running_request.cc
@@ -1,5 +1,6 @@
 #include "entry/running_request.h"
 
+#include "entry/avoidance.h"
 #include "entry/entry_events.h"
 #include "entry/refusals.h"
 
@@ -202,9 +203,10 @@
     if (completed) {
         parts_.boards.backends.on_success(choice_.server);
     } else if (is_server_fault(action.end) || action.end == attempt_end::not_run) {
-        const bool not_run = action.end == attempt_end::not_run;
-        parts_.boards.backends.on_failure(choice_.server, now(),
-                                          not_run ? avoid_after_not_run : avoid_after_failure);
+        if (!attempt_had_piece_) {
+            // A server that gave a part of the answer still works; its version's evidence counts.
+            record_failure(parts_.boards.backends, choice_.server, now());
+        }
         parts_.log.write(attempt_failed, {{"attempt", action.attempt.str()},
                                           {"server", server->id.str()},
                                           {"end", std::string(name_of(action.end))},
--- a/tests/entry/at_most_once_test.cc
+++ b/tests/entry/at_most_once_test.cc
@@ -81,11 +81,14 @@
         callers.emplace_back([&, i] {
             for (;;) {
                 const auto answer = book(system, static_cast<std::size_t>(i) % 3, "b1", "k1");
-                if (answer.ok() && answer->status != 409) {
+                const bool again = !answer.ok() || answer->status == 409 ||
+                                   (answer->status == 503 && outcome_of(*answer) == "not_run");
+                if (!again) {
                     const std::lock_guard lock(mutex);
                     answers.push_back(*answer);
                     return;
                 }
+                std::this_thread::sleep_for(millis{20});
             }
         });
     }
--- a/tests/entry/engine_failures_test.cc
+++ b/tests/entry/engine_failures_test.cc
@@ -1,35 +1,59 @@
 #include "entry_fixture.h"
 
+#include "jujubetide/base/random_source.h"
+
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <iostream>
 
 using namespace jujubetide;
 
 namespace {
 
 constexpr std::uint32_t pieces = 12;
+constexpr std::uint64_t fault_seed = 7;
 
 struct tally {
     std::atomic<int> whole{0};
     std::atomic<int> wrong{0};
     std::atomic<int> refused_not_run{0};
     std::atomic<int> failed{0};
+
+    /// Counts the answers that are not whole by what callers saw.
+    void note(const caller_answer& answer) {
+        const std::lock_guard lock(mutex_);
+        ++seen_[std::to_string(answer.status) + " " + answer.outcome + " " + answer.code + " " +
+                answer.error];
+    }
+    [[nodiscard]] std::string text() const {
+        std::string lines;
+        for (const auto& [what, count] : seen_) {
+            lines += std::to_string(count) + " x " + what + "\n";
+        }
+        return lines;
+    }
+
+private:
+    std::mutex mutex_;
+    std::map<std::string, int> seen_;
 };
 
 /// Runs `count` streams on `threads` callers at once, each with a prompt that names its request.
-void run_streams(entry_fixture& system, int count, int threads, tally& results) {
+void run_streams(entry_fixture& system, int count, int threads, std::uint32_t length,
+                 tally& results) {
     std::atomic<int> next{0};
     std::vector<std::thread> callers;
     for (int t = 0; t < threads; ++t) {
         callers.emplace_back([&] {
             for (int i = next++; i < count; i = next++) {
                 const std::string prompt = "request number " + std::to_string(i);
-                const caller_answer answer = system.caller().stream("chat", prompt, pieces);
+                const caller_answer answer = system.caller().stream("chat", prompt, length);
                 if (!answer.whole) {
+                    results.note(answer);
                     ++(answer.outcome == "not_run" ? results.refused_not_run : results.failed);
                 } else {
-                    ++(answer.text == standin_answer(prompt, pieces) ? results.whole
+                    ++(answer.text == standin_answer(prompt, length) ? results.whole
                                                                      : results.wrong);
                 }
             }
@@ -59,8 +83,9 @@
     for (const auto& [name, fault] : every_fault) {
         INFO(name);
         entry_fixture system;
-        for (const auto& engine : system.engines) {
-            engine->set_fault(fault, {1, 2, millis{60}});
+        // The router tries the engines in their order: the last one is sound.
+        for (std::size_t i = 0; i + 1 < system.engines.size(); ++i) {
+            system.engines[i]->set_fault(fault, {1, 2, millis{60}});
         }
         const caller_answer answer = system.caller().stream("chat", name, pieces);
         INFO(answer.code << " " << answer.error);
@@ -71,19 +96,29 @@
 
 TEST_CASE("a thousand streams each get their own whole answer while engines fail") {
     entry_fixture system(4);
-    for (const auto& engine : system.engines) {
-        for (const auto& [name, fault] : every_fault) {
-            if (fault != engine_fault::stall) {
-                engine->set_fault(fault, {10, 3, millis{20}});
-            }
-        }
-    }
     tally results;
-    run_streams(system, 1'000, 32, results);
+    std::atomic<bool> done{false};
+    std::thread faults([&system, &done] {
+        // Faults that meet answers which have begun; each meets one call.
+        const std::vector<engine_fault> kinds{
+            engine_fault::end_early,  engine_fault::repeat_piece,  engine_fault::cross_pieces,
+            engine_fault::skip_piece, engine_fault::wrong_attempt, engine_fault::late_pieces,
+            engine_fault::tear_piece};
+        seeded_random random(fault_seed);
+        while (!done) {
+            const auto kind = kinds[random.below(kinds.size())];
+            system.engines[random.below(system.engines.size())]->set_fault(
+                kind, {1, 1 + random.below(pieces - 2), millis{10}});
+            std::this_thread::sleep_for(millis{1});
+        }
+    });
+    run_streams(system, 1'000, 32, pieces, results);
+    done = true;
+    faults.join();
+    std::cout << "faults: seed " << fault_seed << "\n";
+    INFO(results.text());
     CHECK(results.wrong == 0);
-    CHECK(results.failed == 0);
-    CHECK(results.whole + results.refused_not_run == 1'000);
-    CHECK(results.whole > 900);
+    CHECK(results.whole == 1'000);
 }
 
 TEST_CASE("streams survive the announced loss of one failure domain and then a second") {
@@ -94,12 +129,14 @@
         engine->set_knobs(slow);
     }
     tally results;
-    std::thread streams([&] { run_streams(system, 24, 24, results); });
+    constexpr std::uint32_t long_answer = 120;
+    std::thread streams([&] { run_streams(system, 24, 24, long_answer, results); });
     const bool all_running = wait_until([&system] { return system.running_engines() == 24; });
     system.leave_host_of_engine(0);
     const bool left = wait_until([&system] { return system.engines[0]->running() == 0; });
     system.leave_host_of_engine(1);
     streams.join();
+    INFO(results.text());
     CHECK(all_running);
     CHECK(left);
     CHECK(results.whole == 24);
@@ -131,7 +168,7 @@
     system.engines[0]->set_fault(engine_fault::fail_before_run, {-1, 0, {}});
     tally results;
     constexpr int count = 400;
-    run_streams(system, count, 8, results);
+    run_streams(system, count, 8, pieces, results);
     const std::string metrics =
         http_call(system.entries[0]->server().address(), "GET", "/metrics", "", {})->body;
     const std::string name = "jujubetide_retries_total{service=\"chat\"} ";
