Write logs to standard error and to no file

Cause: the logging library wrote each line to standard output, before the line 'listening ADDRESS:PORT' that others read there, and opened myeasylog.log in the working folder, while hosts keep nothing on disk.

--- a/src/edge/process_log.cc
+++ b/src/edge/process_log.cc
@@ -1,5 +1,7 @@
 #include "jujubetide/edge/process_log.h"
 
+#include "edge/easylogging_setup.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_replace.h>
 #include <easylogging++.h>
