--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -26,6 +26,8 @@
 
 namespace {
 
+/// Largest body that any service may take.
+constexpr std::size_t max_body_bytes = 64U << 20U;
 constexpr int exit_other = 1;
 constexpr int exit_bad_settings = 2;
 /// Part of the drain time in which running answers may end here before they are handed over.
@@ -48,6 +50,7 @@
     options.self = {settings.node, settings.failure_domain, settings.listen};
     options.http.listen = settings.listen;
     options.http.threads = settings.http_threads;
+    options.http.max_body_bytes = max_body_bytes;
     options.entries_lifetime = settings.entries_lifetime;
     return options;
 }
--- /dev/null
+++ b/tests/system/system_fixture.cc
@@ -0,0 +1,144 @@
+#include "system_fixture.h"
+
+#include "support/eventually.h"
+
+#include "jujubetide/http/http_server.h"
+#include "jujubetide/platform/http_table.h"
+#include "jujubetide/settings/settings_store.h"
+#include "jujubetide/settings/sha256.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+namespace jujubetide {
+namespace {
+
+endpoint address_of(const child_process& process) {
+    return parse_endpoint(process.listening()).value_or(endpoint{});
+}
+
+/// A port that was free a moment ago.
+endpoint free_address() {
+    const auto server = http_server::make({}, [](httplib::Server&) {});
+    REQUIRE(server.ok());
+    return (*server)->address();
+}
+
+std::string backend_document(const std::string& service, std::size_t index,
+                             const child_process& process) {
+    return absl::StrCat("service: ", service, "\nversion: v1\naddress: ", process.listening(),
+                        "\nhost: ", service, "-host-", index, "\nfailure_domain: d", index, "\n");
+}
+
+} // namespace
+
+system_fixture::system_fixture(int engine_count, int entry_count) {
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "jujubetide-system-XXXXXX").string();
+    folder_ = ::mkdtemp(pattern.data());
+    platform = std::make_unique<child_process>("platform-standin", std::vector<std::string>{});
+    for (int i = 0; i < engine_count; ++i) {
+        engines.push_back(
+            std::make_unique<child_process>("engine-standin", std::vector<std::string>{}));
+    }
+    for (int i = 0; i < 2; ++i) {
+        plain.push_back(
+            std::make_unique<child_process>("plain-standin", std::vector<std::string>{}));
+    }
+    write_settings();
+    for (int i = 0; i < entry_count; ++i) {
+        peer_addresses_.push_back(free_address());
+    }
+    entries.resize(static_cast<std::size_t>(entry_count));
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        start_entry(i);
+    }
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        REQUIRE(wait_ready(i));
+    }
+}
+
+system_fixture::~system_fixture() {
+    entries.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+}
+
+void system_fixture::start_entry(std::size_t index) {
+    entries[index].reset();
+    const std::string file = absl::StrCat(folder_, "/entry-", index, ".yaml");
+    std::ofstream text(file);
+    text << "node: entry-" << index << "\nhost: entry-host-" << index << "\nfailure_domain: d"
+         << index
+         << "\nregion: r\nlisten: 127.0.0.1:0\npeer_listen: " << peer_addresses_[index].str()
+         << "\nplatform: " << platform->listening()
+         << "\nhttp_threads: 96\ndrain_timeout_ms: 20000\nsettings_poll_ms: 1000\nseeds: [";
+    for (std::size_t i = 0; i < peer_addresses_.size(); ++i) {
+        text << (i == 0 ? "" : ", ") << peer_addresses_[i].str();
+    }
+    text << "]\n";
+    text.close();
+    const char* const log = std::getenv("JUJUBETIDE_TEST_LOG");
+    entries[index] = std::make_unique<child_process>("jujubetide-entry",
+                                                     std::vector<std::string>{"--settings", file},
+                                                     log == nullptr ? "/dev/null" : log);
+    REQUIRE_FALSE(entries[index]->listening().empty());
+}
+
+bool system_fixture::wait_ready(std::size_t index) const {
+    return eventually([this, index] {
+        const auto answer = http_call(entry(index), "GET", "/readyz", "", {});
+        return answer.ok() && answer->status == 200;
+    });
+}
+
+endpoint system_fixture::entry(std::size_t index) const {
+    return address_of(*entries[index]);
+}
+
+void system_fixture::set_faults(const child_process& standin, const std::string& faults) {
+    const auto answer = http_call(address_of(standin), "POST", "/faults", faults, {});
+    REQUIRE(answer.ok());
+    REQUIRE(answer->status == 200);
+}
+
+int system_fixture::executions_of_booking(const std::string& name) const {
+    int count = 0;
+    for (const auto& service : plain) {
+        const auto answer = http_call(address_of(*service), "GET", "/counters", "", {});
+        REQUIRE(answer.ok());
+        count += nlohmann::json::parse(answer->body)["bookings"].value(name, 0);
+    }
+    return count;
+}
+
+void system_fixture::write_settings() const {
+    settings_change change;
+    change.id = change_id("first");
+    change.author = operator_id("test");
+    change.edits["/teams/frio/services/chat"] = "kind: model\nversion: v1\nroutes:\n  - id: chat\n";
+    change.edits["/teams/frio/services/berth"] =
+        "kind: plain\nversion: v1\nroutes:\n"
+        "  - {id: book, method: POST, path_prefix: /, idempotent: false}\n"
+        "  - {id: read, method: GET, path_prefix: /, idempotent: true}\n";
+    change.edits["/teams/frio/customers/kitchen"] =
+        absl::StrCat("key_sha256: ", sha256_hex(key), "\nservices: [chat, berth]\n");
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        change.edits[absl::StrCat("/teams/frio/backends/chat-", i)] =
+            backend_document("chat", i, *engines[i]);
+    }
+    for (std::size_t i = 0; i < plain.size(); ++i) {
+        change.edits[absl::StrCat("/teams/frio/backends/berth-", i)] =
+            backend_document("berth", i, *plain[i]);
+    }
+    http_table rows(address_of(*platform));
+    const auto applied = settings_store(rows).apply(change);
+    INFO(applied.status().message());
+    REQUIRE(applied.ok());
+}
+
+} // namespace jujubetide
