Wire the entry to its peers and prove planned stops between processes

Change: nghttp2 peer link and membership in the entry, loads read only by the node that watches an engine, readiness by the table or by peers, a stop when the own host leaves, and a linger of the entries' lifetime after a drain, in which callers with an old address are refused as not run with other entries. A drain also waits until streams are written to their end, since the HTTP library cuts chunked answers when its server stops.

--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -3,6 +3,7 @@
 #include "entry/entry_events.h"
 #include "entry/entry_list.h"
 #include "entry/refusals.h"
+#include "entry/scoped_count.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -16,18 +17,6 @@
 constexpr micros sweep_period{5'000'000};
 constexpr millis drain_poll{20};
 
-/// Counts one up for its life.
-class scoped_count {
-public:
-    explicit scoped_count(std::atomic<int>& count) : count_(count) { ++count_; }
-    ~scoped_count() { --count_; }
-    scoped_count(const scoped_count&) = delete;
-    scoped_count& operator=(const scoped_count&) = delete;
-
-private:
-    std::atomic<int>& count_;
-};
-
 /// Statuses that the HTTP library sets itself become problems too.
 void explain_error(const httplib::Request& /*request*/, httplib::Response& response) {
     if (!response.body.empty()) {
@@ -96,7 +85,8 @@
     begin_drain();
     const time_point begin = parts_.time.now();
     const auto all_gone = [this] {
-        return models_.requests().running_count() == 0 && plain_running_ == 0;
+        return models_.requests().running_count() == 0 && models_.open_streams() == 0 &&
+               plain_running_ == 0;
     };
     while (!all_gone()) {
         const micros passed = parts_.time.now() - begin;
@@ -153,7 +143,7 @@
     routes.Get("/readyz", [this](const httplib::Request& request, httplib::Response& response) {
         if (draining_) {
             set_problem(response, draining_refusal(other_entries(request.remote_addr)));
-        } else if (parts_.boards.settings.current() == nullptr) {
+        } else if (!has_settings()) {
             set_problem(response, not_ready_refusal());
         } else {
             response.set_content("ready\n", "text/plain");
@@ -164,18 +154,21 @@
     });
 }
 
+bool entry_server::has_settings() const {
+    return settings_ready_ && parts_.boards.settings.current() != nullptr;
+}
+
 std::optional<caller_context> entry_server::accept(const httplib::Request& request,
                                                    httplib::Response& response) {
     if (draining_) {
         set_problem(response, draining_refusal(other_entries(request.remote_addr)));
         return std::nullopt;
     }
-    snapshot_ptr settings = parts_.boards.settings.current();
-    if (settings == nullptr) {
+    if (!has_settings()) {
         set_problem(response, not_ready_refusal());
         return std::nullopt;
     }
-    auto caller = read_caller(request, std::move(settings), parts_.time.now());
+    auto caller = read_caller(request, parts_.boards.settings.current(), parts_.time.now());
     if (const auto* error = std::get_if<problem>(&caller)) {
         set_problem(response, *error);
         return std::nullopt;
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -37,6 +37,9 @@
     entry_metrics& metrics() { return metrics_; }
     /// Requests to model services whose answer has no end yet.
     [[nodiscard]] std::size_t running_requests() { return models_.requests().running_count(); }
+    /// The settings in force are the newest that the table or several peers know; until then the
+    /// node refuses all work.
+    void set_settings_ready() { settings_ready_ = true; }
     /// Takes no new work and leaves the list of entries.
     void begin_drain();
     /// Ends a planned stop: waits until `grace` has passed for running answers to end, then hands
@@ -51,6 +54,7 @@
     void complete(completion_kind kind, const httplib::Request& request,
                   httplib::Response& response);
     void pass_through(const httplib::Request& request, httplib::Response& response);
+    [[nodiscard]] bool has_settings() const;
     /// Reads the caller's headers; on a refusal answers and returns nothing.
     std::optional<caller_context> accept(const httplib::Request& request,
                                          httplib::Response& response);
@@ -63,6 +67,7 @@
     entry_metrics metrics_;
     model_handler models_;
     plain_handler plain_;
+    std::atomic<bool> settings_ready_{false};
     std::atomic<bool> draining_{false};
     std::atomic<int> plain_running_{0};
     std::unique_ptr<timer_subscription> sweep_timer_;
--- a/src/entry/load_poller.cc
+++ b/src/entry/load_poller.cc
@@ -1,8 +1,17 @@
 #include "entry/load_poller.h"
 
 namespace jujubetide {
+namespace {
 
-load_poller::load_poller(entry_parts& parts) : parts_(parts) {
+bool is_model_engine(const settings_snapshot& settings, const backend_server_settings& server) {
+    const service_settings* service = settings.find_service(server.service);
+    return service != nullptr && service->kind == service_kind::model;
+}
+
+} // namespace
+
+load_poller::load_poller(entry_parts& parts, membership_node& membership)
+    : parts_(parts), membership_(membership) {
     for (std::size_t part = 0; part < thread_count; ++part) {
         threads_.push_back(std::make_unique<periodic_thread>([this, part] {
             poll_part(part);
@@ -16,11 +25,11 @@
     if (settings == nullptr) {
         return;
     }
-    const auto& servers = settings->backend_servers();
-    for (std::size_t i = part; i < servers.size(); i += thread_count) {
-        const service_settings* service = settings->find_service(servers[i].service);
-        if (service != nullptr && service->kind == service_kind::model) {
-            poll_server(servers[i]);
+    const std::vector<backend_server_id> watched = membership_.watched_servers();
+    for (std::size_t i = part; i < watched.size(); i += thread_count) {
+        const backend_server_settings* server = settings->find_backend_server(watched[i]);
+        if (server != nullptr && is_model_engine(*settings, *server)) {
+            poll_server(*server);
         }
     }
 }
@@ -30,7 +39,7 @@
     if (!load.ok()) {
         return;
     }
-    parts_.boards.backends.report_load(server.id, *load, parts_.time.now());
+    membership_.report_load(server.id, *load);
     if (load->leaving && !parts_.boards.backends.is_leaving(server.host)) {
         parts_.facts.leaving_host(server.host);
     }
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -1,9 +1,8 @@
 // An entry node: takes callers' requests.
+#include "entry/deferred_facts.h"
 #include "entry/entry_events.h"
 #include "entry/entry_server.h"
 #include "entry/load_poller.h"
-#include "entry/local_facts.h"
-#include "entry/no_peers.h"
 #include "entry/settings_poller.h"
 
 #include "jujubetide/backend/http_engine_client.h"
@@ -14,13 +13,19 @@
 #include "jujubetide/edge/system_random.h"
 #include "jujubetide/edge/thread_timer_service.h"
 #include "jujubetide/limits/deadline_admission.h"
+#include "jujubetide/membership/parsing_snapshot_builder.h"
+#include "jujubetide/peer/nghttp2_peer_link.h"
+#include "jujubetide/peer/peer_node.h"
 #include "jujubetide/platform/http_table.h"
 #include "jujubetide/routing/least_loaded_router.h"
 #include "jujubetide/settings/process_settings.h"
 
 #include <tclap/CmdLine.h>
 
+#include <csignal>
 #include <iostream>
+#include <thread>
+#include <unistd.h>
 
 using namespace jujubetide;
 
@@ -32,18 +37,8 @@
 constexpr int exit_bad_settings = 2;
 /// Part of the drain time in which running answers may end here before they are handed over.
 constexpr int drain_grace_divisor = 4;
-
-member self_record(const process_settings& settings, const endpoint& address) {
-    member self;
-    self.node = settings.node;
-    self.host = settings.host;
-    self.failure_domain = settings.failure_domain;
-    self.region = settings.region;
-    self.role = node_role::entry;
-    self.peer_address = settings.peer_listen;
-    self.public_address = address;
-    return self;
-}
+/// How often a node looks whether it has become ready or its host leaves.
+constexpr micros watch_period{200'000};
 
 entry_options make_options(const process_settings& settings) {
     entry_options options;
@@ -55,41 +50,100 @@
     return options;
 }
 
-int serve(const process_settings& settings) {
+/// Waits while callers may still come with an address that `GET /v1/entries` gave them.
+void linger(const process_settings& settings, const boot_clock& time, time_point leaving_since) {
+    constexpr millis poll{50};
+    while (time.now() - leaving_since < settings.entries_lifetime) {
+        std::this_thread::sleep_for(poll);
+    }
+}
+
+/// Stops as by SIGTERM once this host is told to leave.
+void stop_when_leaving(const blackboard& boards, const host_id& host) {
+    if (boards.backends.is_leaving(host)) {
+        ::kill(::getpid(), SIGTERM);
+    }
+}
+
+/// What the node's parts share, in the order in which they depend on each other.
+struct entry_process {
+    explicit entry_process(const process_settings& settings, peer_link& link)
+        : platform_table(settings.platform), peers(link) {}
+
     boot_clock time;
     thread_timer_service timers;
-    process_log log("jujubetide-entry");
+    process_log log{"jujubetide-entry"};
     seeded_random random = system_seeded_random();
+    /// Used by the membership only, which guards it by its own lock.
+    seeded_random peer_random = system_seeded_random();
     blackboard boards;
-    http_table platform_table(settings.platform);
+    http_table platform_table;
     http_engine_client engines;
     http_plain_client plain;
-    least_loaded_router routes(boards.backends);
+    least_loaded_router routes{boards.backends};
     deadline_admission limits;
     retry_budget retries;
     settled_version_selector versions;
-    no_peers peers;
-    local_facts facts(boards, settings.node);
+    deferred_facts facts;
+    parsing_snapshot_builder builder;
+    peer_link& peers;
     entry_parts parts{time,     timers,  log,   boards,         routes, limits, retries,
                       versions, engines, plain, platform_table, facts,  peers};
+};
 
-    const auto server = entry_server::make(parts, make_options(settings));
-    if (!server.ok()) {
-        std::cerr << server.status().message() << '\n';
-        return exit_other;
-    }
-    boards.members.merge(self_record(settings, (*server)->address()));
-    const settings_poller settings_source(parts, random, settings.settings_poll);
-    const load_poller loads(parts);
-    log.write(entry_listening, {{"address", (*server)->address().str()}});
-    std::cout << "listening " << (*server)->address().str() << std::endl;
+int serve_callers(const process_settings& settings, entry_process& process, entry_server& server,
+                  peer_node& node) {
+    const settings_poller settings_source(process.parts, process.random, settings.settings_poll,
+                                          [&server] { server.set_settings_ready(); });
+    const load_poller loads(process.parts, node.membership());
+    const auto watch = process.timers.every(watch_period, watch_period, [&] {
+        if (node.settings_ready()) {
+            server.set_settings_ready();
+        }
+        stop_when_leaving(process.boards, settings.host);
+    });
+    process.log.write(entry_listening, {{"address", server.address().str()}});
+    std::cout << "listening " << server.address().str() << std::endl;
 
     wait_for_shutdown_signal();
-    (void)(*server)->drain(settings.drain_timeout / drain_grace_divisor, settings.drain_timeout);
-    log.write(entry_stopped, {{"node", settings.node.str()}});
+    const time_point leaving_since = process.time.now();
+    const bool reclaimed = process.boards.backends.is_leaving(settings.host);
+    const millis grace = reclaimed ? millis{0} : settings.drain_timeout / drain_grace_divisor;
+    (void)server.drain(grace, settings.drain_timeout);
+    linger(settings, process.time, leaving_since);
+    process.log.write(entry_stopped, {{"node", settings.node.str()}});
     return 0;
 }
 
+int fail(const absl::Status& status) {
+    std::cerr << status.message() << '\n';
+    return exit_other;
+}
+
+int serve(process_settings settings) {
+    auto link = nghttp2_peer_link::make(settings.peer_listen, settings.node);
+    if (!link.ok()) {
+        return fail(link.status());
+    }
+    settings.peer_listen = (*link)->listening();
+    entry_process process(settings, **link);
+    const auto server = entry_server::make(process.parts, make_options(settings));
+    if (!server.ok()) {
+        return fail(server.status());
+    }
+    auto node = peer_node::make(settings, node_role::entry, (*server)->address(), process.boards,
+                                **link, process.timers, process.time, process.peer_random,
+                                process.builder, process.log);
+    if (!node.ok()) {
+        return fail(node.status());
+    }
+    process.facts.set((*node)->publisher());
+    (*node)->start();
+    const int code = serve_callers(settings, process, **server, **node);
+    (*link)->stop();
+    return code;
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
--- a/src/entry/model_handler.cc
+++ b/src/entry/model_handler.cc
@@ -3,6 +3,7 @@
 #include "entry/answer_writer.h"
 #include "entry/entry_events.h"
 #include "entry/refusals.h"
+#include "entry/scoped_count.h"
 
 #include "jujubetide/routing/prompt_blocks.h"
 
@@ -168,8 +169,9 @@
         requests_.remove(running->record().request);
         return;
     }
-    const auto provider = [this, running, next = from](std::size_t /*offset*/,
-                                                       httplib::DataSink& sink) mutable {
+    const auto open = std::make_shared<scoped_count>(open_streams_);
+    const auto provider = [this, running, open, next = from](std::size_t /*offset*/,
+                                                             httplib::DataSink& sink) mutable {
         running->note_read(parts_.time.now());
         const answer_log::view seen = running->answer().wait(next, reader_poll);
         std::string events;
--- a/src/entry/model_handler.h
+++ b/src/entry/model_handler.h
@@ -8,6 +8,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,6 +31,8 @@
     absl::StatusOr<std::string> take_over(const std::string& body, bool draining);
 
     running_requests& requests() { return requests_; }
+    /// Streams to callers that have not been written to their end.
+    [[nodiscard]] int open_streams() const { return open_streams_; }
 
 private:
     struct admitted_request {
@@ -52,6 +55,7 @@
     const entry_identity& self_;
     entry_metrics& metrics_;
     running_requests requests_;
+    std::atomic<int> open_streams_{0};
 };
 
 } // namespace jujubetide
--- a/src/entry/settings_poller.cc
+++ b/src/entry/settings_poller.cc
@@ -4,14 +4,17 @@
 
 namespace jujubetide {
 
-settings_poller::settings_poller(entry_parts& parts, random_source& random, millis period)
-    : parts_(parts), random_(random), period_(period), store_(parts.platform_table),
-      thread_([this] { return poll(); }) {}
+settings_poller::settings_poller(entry_parts& parts, random_source& random, millis period,
+                                 std::function<void()> on_loaded)
+    : parts_(parts), random_(random), period_(period), on_loaded_(std::move(on_loaded)),
+      store_(parts.platform_table), thread_([this] { return poll(); }) {}
 
 micros settings_poller::poll() {
     const absl::Status loaded = load();
     if (!loaded.ok()) {
         parts_.log.write(settings_not_loaded, {{"error", std::string(loaded.message())}});
+    } else if (parts_.boards.settings.current() != nullptr) {
+        on_loaded_();
     }
     const bool has_settings = parts_.boards.settings.current() != nullptr;
     const millis base = has_settings ? period_ : std::min(period_, first_load_period);
--- a/src/entry/settings_poller.h
+++ b/src/entry/settings_poller.h
@@ -6,6 +6,8 @@
 #include "jujubetide/base/random_source.h"
 #include "jujubetide/settings/settings_store.h"
 
+#include <functional>
+
 namespace jujubetide {
 
 /// Reads newer settings from the table, slowly and with jitter once there are some; until then each
@@ -16,8 +18,9 @@
     static constexpr double jitter = 0.25;
     static constexpr millis first_load_period{1'000};
 
-    /// All references outlive the poller.
-    settings_poller(entry_parts& parts, random_source& random, millis period);
+    /// All references outlive the poller. `on_loaded` is called after each successful read.
+    settings_poller(entry_parts& parts, random_source& random, millis period,
+                    std::function<void()> on_loaded);
 
 private:
     micros poll();
@@ -26,6 +29,7 @@
     entry_parts& parts_;
     random_source& random_;
     millis period_;
+    std::function<void()> on_loaded_;
     settings_store store_;
     periodic_thread thread_;
 };
--- a/tests/entry/entry_fixture.cc
+++ b/tests/entry/entry_fixture.cc
@@ -90,6 +90,7 @@
     for (int i = 0; i < entry_count; ++i) {
         entries.push_back(std::make_unique<test_entry>(hub, i, platform->address()));
         entries.back()->boards.settings.offer(make_settings());
+        entries.back()->server().set_settings_ready();
     }
     for (const auto& entry : entries) {
         for (const auto& other : entries) {
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -2,7 +2,7 @@
 
 #include "direct_peers.h"
 #include "entry/entry_server.h"
-#include "entry/local_facts.h"
+#include "local_facts.h"
 #include "standins/standin_answer.h"
 #include "standins/standin_caller.h"
 #include "standins/standin_engine.h"
--- /dev/null
+++ b/tests/system/planned_stop_test.cc
@@ -0,0 +1,189 @@
+#include "standins/standin_answer.h"
+#include "support/eventually.h"
+#include "system_fixture.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+using namespace jujubetide;
+
+namespace {
+
+std::size_t entries_known(const system_fixture& system, std::size_t index) {
+    const auto answer = http_call(system.entry(index), "GET", "/v1/entries", "", {});
+    return answer.ok() && answer->status == 200
+               ? nlohmann::json::parse(answer->body)["entries"].size()
+               : 0;
+}
+
+void wait_until_met(const system_fixture& system) {
+    for (std::size_t i = 0; i < system.entries.size(); ++i) {
+        CHECK(eventually([&] { return entries_known(system, i) == system.entries.size(); }));
+    }
+}
+
+/// Callers that send stream after stream: each keeps its entry's address for a while and takes the
+/// next one from `GET /v1/entries`, as clients do. Refusals as not run are sent again elsewhere.
+class steady_callers {
+public:
+    steady_callers(const system_fixture& system, int count) {
+        for (int i = 0; i < count; ++i) {
+            const endpoint first =
+                system.entry(static_cast<std::size_t>(i) % system.entries.size());
+            threads_.emplace_back([this, i, first] { run(i, first); });
+        }
+    }
+    void stop() {
+        stopping_ = true;
+        for (std::thread& thread : threads_) {
+            thread.join();
+        }
+    }
+
+    std::atomic<int> whole{0};
+    std::atomic<int> broken{0};
+    std::atomic<int> moves{0};
+    std::atomic<int> refused{0};
+    std::mutex mutex;
+    std::string notes;
+
+private:
+    static constexpr std::uint32_t pieces = 150;
+    static constexpr int calls_for_one_address = 2;
+
+    void run(int number, endpoint entry) {
+        for (int call = 0; !stopping_; ++call) {
+            if (call % calls_for_one_address == 0) {
+                entry = next_entry(entry);
+            }
+            const std::string prompt =
+                "caller " + std::to_string(number) + " call " + std::to_string(call);
+            send(prompt, entry);
+        }
+    }
+
+    void send(const std::string& prompt, endpoint& entry) {
+        for (;;) {
+            const caller_answer answer =
+                standin_caller(entry, system_fixture::key).stream("chat", prompt, pieces);
+            moves += answer.moves;
+            if (answer.outcome == "not_run") {
+                ++refused;
+                entry = next_entry(entry);
+                std::this_thread::sleep_for(millis{20});
+                continue;
+            }
+            const bool good = answer.whole && answer.text == standin_answer(prompt, pieces);
+            ++(good ? whole : broken);
+            if (!good) {
+                const std::lock_guard lock(mutex);
+                notes += std::to_string(answer.status) + " " + answer.code + " " + answer.error +
+                         " moves " + std::to_string(answer.moves) + "\n";
+            }
+            return;
+        }
+    }
+
+    static endpoint next_entry(const endpoint& known) {
+        const auto answer = http_call(known, "GET", "/v1/entries", "", {});
+        if (!answer.ok() || answer->status != 200) {
+            return known;
+        }
+        const auto entries = nlohmann::json::parse(answer->body)["entries"];
+        return entries.empty() ? known : parse_endpoint(entries[0]["address"]).value_or(known);
+    }
+
+    std::atomic<bool> stopping_{false};
+    std::vector<std::thread> threads_;
+};
+
+} // namespace
+
+TEST_CASE("a stopped entry process hands its streams to another process") {
+    const system_fixture system(2, 3);
+    wait_until_met(system);
+    for (const auto& engine : system.engines) {
+        system_fixture::set_faults(*engine, R"({"between_pieces_ms": 50})");
+    }
+    constexpr std::uint32_t pieces = 200;
+    const caller_answer answer =
+        system.caller().stream("chat", "long", pieces, [&system](std::size_t count) {
+            if (count == 5) {
+                system.entries[0]->signal(SIGTERM);
+            }
+            return true;
+        });
+    CHECK(answer.whole);
+    CHECK(answer.moves == 1);
+    CHECK(answer.text == standin_answer("long", pieces));
+    CHECK(system.entries[0]->wait() == 0);
+}
+
+namespace {
+
+/// Restarts all entries, one after the other, while callers send streams; each is ended by
+/// `signal`.
+void restart_all(system_fixture& system, steady_callers& callers, int signal) {
+    for (std::size_t i = 0; i < system.entries.size(); ++i) {
+        system.entries[i]->signal(signal);
+        (void)system.entries[i]->wait();
+        system.start_entry(i);
+        CHECK(system.wait_ready(i));
+        wait_until_met(system);
+    }
+    callers.stop();
+    std::cout << "rolling restart by signal " << signal << ": " << callers.whole << " whole, "
+              << callers.broken << " broken, " << callers.moves << " moves, " << callers.refused
+              << " refused as not run and sent again\n"
+              << callers.notes;
+}
+
+} // namespace
+
+TEST_CASE("a rolling restart of all entries under load breaks no answer") {
+    system_fixture system(3, 3);
+    wait_until_met(system);
+    for (const auto& engine : system.engines) {
+        system_fixture::set_faults(*engine, R"({"between_pieces_ms": 20})");
+    }
+    steady_callers callers(system, 12);
+    restart_all(system, callers, SIGTERM);
+    CHECK(callers.broken == 0);
+    CHECK(callers.whole >= 12);
+    CHECK(callers.moves > 0);
+}
+
+TEST_CASE("the same restart without a planned stop breaks answers") {
+    system_fixture system(3, 3);
+    wait_until_met(system);
+    for (const auto& engine : system.engines) {
+        system_fixture::set_faults(*engine, R"({"between_pieces_ms": 20})");
+    }
+    steady_callers callers(system, 12);
+    CHECK(eventually([&callers] { return callers.whole >= 12; }));
+    restart_all(system, callers, SIGKILL);
+    CHECK(callers.broken > 0);
+}
+
+TEST_CASE("an engine that says it leaves gets no new work at any entry") {
+    const system_fixture system(2, 3);
+    wait_until_met(system);
+    system_fixture::set_faults(*system.engines[0], R"({"leaving": true})");
+    const auto executions = [&system] {
+        const auto state = http_call(parse_endpoint(system.engines[0]->listening()).value(), "GET",
+                                     "/v1/state", "", {});
+        return nlohmann::json::parse(state->body)["executions_by_attempt"].size();
+    };
+    // The engine reports each second, and the notice floods.
+    std::this_thread::sleep_for(millis{3'000});
+    const std::size_t before = executions();
+    for (int i = 0; i < 60; ++i) {
+        CHECK(system.caller(static_cast<std::size_t>(i) % 3).whole("chat", "x", 4).whole);
+    }
+    CHECK(executions() == before);
+}
--- a/tests/system/system_fixture.cc
+++ b/tests/system/system_fixture.cc
@@ -76,7 +76,8 @@
          << index
          << "\nregion: r\nlisten: 127.0.0.1:0\npeer_listen: " << peer_addresses_[index].str()
          << "\nplatform: " << platform->listening()
-         << "\nhttp_threads: 96\ndrain_timeout_ms: 20000\nsettings_poll_ms: 1000\nseeds: [";
+         << "\nhttp_threads: 96\ndrain_timeout_ms: 8000\nsettings_poll_ms: "
+            "1000\nentries_lifetime_ms: 1000\nseeds: [";
     for (std::size_t i = 0; i < peer_addresses_.size(); ++i) {
         text << (i == 0 ? "" : ", ") << peer_addresses_[i].str();
     }
