--- /dev/null
+++ b/src/entry/main.cc
@@ -0,0 +1,168 @@
+// An entry node: takes callers' requests.
+#include "entry/deferred_facts.h"
+#include "entry/entry_events.h"
+#include "entry/entry_server.h"
+#include "entry/load_poller.h"
+#include "entry/settings_poller.h"
+
+#include "jujubetide/backend/http_engine_client.h"
+#include "jujubetide/backend/http_plain_client.h"
+#include "jujubetide/edge/boot_clock.h"
+#include "jujubetide/edge/process_log.h"
+#include "jujubetide/edge/shutdown_signal.h"
+#include "jujubetide/edge/system_random.h"
+#include "jujubetide/edge/thread_timer_service.h"
+#include "jujubetide/limits/deadline_admission.h"
+#include "jujubetide/membership/parsing_snapshot_builder.h"
+#include "jujubetide/peer/nghttp2_peer_link.h"
+#include "jujubetide/peer/peer_node.h"
+#include "jujubetide/platform/http_table.h"
+#include "jujubetide/routing/least_loaded_router.h"
+#include "jujubetide/settings/process_settings.h"
+
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+#include <unistd.h>
+
+using namespace jujubetide;
+
+namespace {
+
+/// Largest body that any service may take.
+constexpr std::size_t max_body_bytes = 64U << 20U;
+constexpr int exit_other = 1;
+constexpr int exit_bad_settings = 2;
+/// Part of the drain time in which running answers may end here before they are handed over.
+constexpr int drain_grace_divisor = 4;
+/// How often a node looks whether it has become ready or its host leaves.
+constexpr micros watch_period{200'000};
+
+entry_options make_options(const process_settings& settings) {
+    entry_options options;
+    options.self = {settings.node, settings.failure_domain, settings.listen};
+    options.http.listen = settings.listen;
+    options.http.threads = settings.http_threads;
+    options.http.max_body_bytes = max_body_bytes;
+    options.entries_lifetime = settings.entries_lifetime;
+    return options;
+}
+
+/// Waits while callers may still come with an address that `GET /v1/entries` gave them.
+void linger(const process_settings& settings, const boot_clock& time, time_point leaving_since) {
+    constexpr millis poll{50};
+    while (time.now() - leaving_since < settings.entries_lifetime) {
+        std::this_thread::sleep_for(poll);
+    }
+}
+
+/// Stops as by SIGTERM once this host is told to leave.
+void stop_when_leaving(const blackboard& boards, const host_id& host) {
+    if (boards.backends.is_leaving(host)) {
+        ::kill(::getpid(), SIGTERM);
+    }
+}
+
+/// What the node's parts share, in the order in which they depend on each other.
+struct entry_process {
+    explicit entry_process(const process_settings& settings, peer_link& link)
+        : platform_table(settings.platform), peers(link) {}
+
+    boot_clock time;
+    thread_timer_service timers;
+    process_log log{"jujubetide-entry"};
+    seeded_random random = system_seeded_random();
+    /// Used by the membership only, which guards it by its own lock.
+    seeded_random peer_random = system_seeded_random();
+    blackboard boards;
+    http_table platform_table;
+    http_engine_client engines;
+    http_plain_client plain;
+    least_loaded_router routes{boards.backends};
+    deadline_admission limits;
+    retry_budget retries;
+    settled_version_selector versions;
+    deferred_facts facts;
+    parsing_snapshot_builder builder;
+    peer_link& peers;
+    entry_parts parts{time,     timers,  log,   boards,         routes, limits, retries,
+                      versions, engines, plain, platform_table, facts,  peers};
+};
+
+int serve_callers(const process_settings& settings, entry_process& process, entry_server& server,
+                  peer_node& node) {
+    const settings_poller settings_source(process.parts, process.random, settings.settings_poll,
+                                          [&server] { server.set_settings_ready(); });
+    const load_poller loads(process.parts, node.membership());
+    const auto watch = process.timers.every(watch_period, watch_period, [&] {
+        if (node.settings_ready()) {
+            server.set_settings_ready();
+        }
+        stop_when_leaving(process.boards, settings.host);
+    });
+    process.log.write(entry_listening, {{"address", server.address().str()}});
+    std::cout << "listening " << server.address().str() << std::endl;
+
+    wait_for_shutdown_signal();
+    const time_point leaving_since = process.time.now();
+    const bool reclaimed = process.boards.backends.is_leaving(settings.host);
+    const millis grace = reclaimed ? millis{0} : settings.drain_timeout / drain_grace_divisor;
+    (void)server.drain(grace, settings.drain_timeout);
+    linger(settings, process.time, leaving_since);
+    process.log.write(entry_stopped, {{"node", settings.node.str()}});
+    return 0;
+}
+
+int fail(const absl::Status& status) {
+    std::cerr << status.message() << '\n';
+    return exit_other;
+}
+
+int serve(process_settings settings) {
+    auto link = nghttp2_peer_link::make(settings.peer_listen, settings.node);
+    if (!link.ok()) {
+        return fail(link.status());
+    }
+    settings.peer_listen = (*link)->listening();
+    entry_process process(settings, **link);
+    const auto server = entry_server::make(process.parts, make_options(settings));
+    if (!server.ok()) {
+        return fail(server.status());
+    }
+    auto node = peer_node::make(settings, node_role::entry, (*server)->address(), process.boards,
+                                **link, process.timers, process.time, process.peer_random,
+                                process.builder, process.log);
+    if (!node.ok()) {
+        return fail(node.status());
+    }
+    process.facts.set((*node)->publisher());
+    (*node)->start();
+    const int code = serve_callers(settings, process, **server, **node);
+    (*link)->stop();
+    return code;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    block_shutdown_signals();
+    std::string file;
+    try {
+        TCLAP::CmdLine command("Takes callers' requests", ' ', "0.1.0");
+        TCLAP::ValueArg<std::string> settings("", "settings", "The process's YAML file", true, "",
+                                              "FILE", command);
+        command.parse(argc, argv);
+        file = settings.getValue();
+    } catch (const TCLAP::ArgException& error) {
+        std::cerr << error.error() << '\n';
+        return exit_other;
+    }
+    const absl::StatusOr<process_settings> settings = load_process_settings(file);
+    if (!settings.ok()) {
+        std::cerr << settings.status().message() << '\n';
+        return exit_bad_settings;
+    }
+    return serve(*settings);
+}
--- a/tests/blackboard/boards_test.cc
+++ b/tests/blackboard/boards_test.cc
@@ -69,8 +69,8 @@
     move_board second;
     first.merge(move);
     second.merge(move);
-    first.take_back(move.service, move.id, "errors", wall_time{});
-    second.take_back(move.service, move.id, "slow", wall_time{});
+    first.take_back(move.service, move.id, "errors");
+    second.take_back(move.service, move.id, "slow");
     const version_move from_first = *first.of_service(move.service);
     first.merge(*second.of_service(move.service));
     second.merge(from_first);
@@ -79,7 +79,7 @@
 
 TEST_CASE("taking back an unknown move leaves no record") {
     move_board board;
-    CHECK_FALSE(board.take_back(service_id("diagnosis"), move_id("m1"), "errors", wall_time{}));
+    CHECK_FALSE(board.take_back(service_id("diagnosis"), move_id("m1"), "errors"));
     CHECK_FALSE(board.of_service(service_id("diagnosis")).has_value());
     CHECK(board.all().empty());
 }
