--- a/include/jujubetide/moves/move_controller.h
+++ b/include/jujubetide/moves/move_controller.h
@@ -68,6 +68,8 @@
     [[nodiscard]] std::optional<std::string> reason_to_take_back(wall_time now) const;
     [[nodiscard]] std::size_t current_step() const;
     [[nodiscard]] bool step_is_proved(const move_plan_step& step, wall_time now) const;
+    /// Whether evidence against the version delays the step planned at `planned_at`.
+    [[nodiscard]] bool is_held(wall_time planned_at, wall_time now) const;
     [[nodiscard]] bool routes_are_covered() const;
     [[nodiscard]] bool all_confirm(const std::vector<node_id>& entries, wall_time since) const;
     [[nodiscard]] move_action raise(const move_plan_step& step) const;
--- a/include/jujubetide/moves/move_tests.h
+++ b/include/jujubetide/moves/move_tests.h
@@ -50,8 +50,13 @@
         sequential_test failures;
         /// Latencies over the upper quartile and over the upper decile of both versions.
         std::array<sequential_test, 2> latency;
+        /// Windows put together until they are worth a comparison.
+        move_evidence::arm_counts pending;
+        std::uint32_t pending_windows = 0;
     };
 
+    static void test_pending(route_tests& tests);
+
     std::uint32_t windows_;
     std::map<route_id, route_tests> routes_;
     std::map<route_id, route_totals> totals_;
--- a/src/moves/move_controller.cc
+++ b/src/moves/move_controller.cc
@@ -17,8 +17,11 @@
 constexpr millis report_delay{2'500};
 /// Closed windows needed in a step before the next one.
 constexpr std::uint32_t least_windows = 5;
-/// Evidence (natural logarithm) of a fault at which the share is not raised.
-constexpr double hold_level = 4.0;
+/// Evidence (natural logarithm) of a fault at which the share is not raised for a while.
+constexpr double hold_level = 3.0;
+/// The longest time for that, as a part of the move's length. Evidence that is not a clear fault by
+/// then would not become one at a share that stays.
+constexpr int hold_divisor = 10;
 /// Requests of the new version on a route that are enough to raise the share.
 constexpr double enough_on_route = 8.0;
 /// Part of the requests expected on a route that must have come.
@@ -62,12 +65,13 @@
     }
     const std::size_t current = current_step();
     const move_plan_step& step = plan_.steps.at(current);
-    if (!step_is_proved(step, now)) {
+    const bool last = current + 1 == plan_.steps.size();
+    const wall_time planned_at = last ? plan_.planned_end : plan_.steps.at(current + 1).planned_at;
+    if (!step_is_proved(step, now) || is_held(planned_at, now)) {
         return {};
     }
-    if (current + 1 < plan_.steps.size()) {
-        const move_plan_step& next = plan_.steps.at(current + 1);
-        return now >= next.planned_at ? raise(next) : move_action{};
+    if (!last) {
+        return now >= planned_at ? raise(plan_.steps.at(current + 1)) : move_action{};
     }
     const wall_time proved_since = step_began_ + step.least_time;
     return all_confirm(entries, proved_since) ? finish(now) : move_action{};
@@ -123,7 +127,7 @@
 }
 
 bool move_controller::step_is_proved(const move_plan_step& step, wall_time now) const {
-    if (now - step_began_ < step.least_time || tests_.suspicious(hold_level) ||
+    if (now - step_began_ < step.least_time ||
         next_window_.value() < step_began_window_.value() + least_windows) {
         return false;
     }
@@ -136,6 +140,11 @@
     return requests >= step.needed_requests && routes_are_covered();
 }
 
+bool move_controller::is_held(wall_time planned_at, wall_time now) const {
+    const millis longest = (move_.due - move_.start) / hold_divisor;
+    return tests_.suspicious(hold_level) && now < planned_at + longest;
+}
+
 bool move_controller::routes_are_covered() const {
     return std::all_of(tests_.totals().begin(), tests_.totals().end(), [this](const auto& entry) {
         move_tests::route_totals totals = entry.second;
--- a/src/moves/move_planner.cc
+++ b/src/moves/move_planner.cc
@@ -26,6 +26,7 @@
 constexpr double later_exposure = 0.003;
 
 constexpr std::uint32_t requests_needed = 20;
+constexpr std::uint32_t requests_needed_at_full_load = 60;
 /// Requests of the service over a move, fewer of which do not show faults early enough.
 constexpr double least_total_requests = 12'000.0;
 constexpr millis least_length{300'000};
@@ -34,21 +35,25 @@
 struct relative_step {
     double share;
     double length;
+    /// The least time in the step, when the move is late.
+    double least;
+    std::uint32_t requests = requests_needed;
 };
 
 std::vector<relative_step> ramp_shape(double server_share) {
-    std::vector<relative_step> shape{{canary_share, least_canary}};
+    std::vector<relative_step> shape{{canary_share, least_canary, least_canary}};
     const double full = std::clamp(server_share, canary_share, 0.5);
     if (full > second_share) {
-        shape.push_back({second_share, second_length});
+        shape.push_back({second_share, second_length, least_step});
     }
-    shape.push_back({full, std::clamp(full_load_exposure / full, least_step, longest_full_load)});
+    const double full_length = std::clamp(full_load_exposure / full, least_step, longest_full_load);
+    shape.push_back({full, full_length, full_length, requests_needed_at_full_load});
     double share = full * growth;
     while (share < last_share) {
-        shape.push_back({share, std::max(later_exposure / share, least_step)});
+        shape.push_back({share, std::max(later_exposure / share, least_step), least_step});
         share *= growth;
     }
-    shape.push_back({last_share, least_step});
+    shape.push_back({last_share, least_step, least_step});
     return shape;
 }
 
@@ -84,8 +89,8 @@
     for (std::size_t i = shape.size(); i-- > 0;) {
         const millis step_length = part_of(length, shape[i].length);
         const wall_time begin = i == 0 ? request.start : std::max(end - step_length, request.start);
-        const millis least = part_of(length, i == 0 ? least_canary : least_step);
-        plan.steps.push_back({shape[i].share, begin, least, requests_needed});
+        const millis least = part_of(length, shape[i].least);
+        plan.steps.push_back({shape[i].share, begin, least, shape[i].requests});
         end = begin;
     }
     std::reverse(plan.steps.begin(), plan.steps.end());
