--- a/src/moves/move_planner.cc
+++ b/src/moves/move_planner.cc
@@ -12,7 +12,8 @@
 
 constexpr double canary_share = 0.01;
 constexpr double second_share = 0.04;
-constexpr double last_share = 0.9;
+/// Leaves the old version enough requests to compare with.
+constexpr double last_share = 0.8;
 constexpr double growth = 2.0;
 /// Part of the move's length that is kept for outages.
 constexpr double reserve = 0.25;
@@ -28,7 +29,7 @@
 constexpr std::uint32_t requests_needed = 20;
 constexpr std::uint32_t requests_needed_at_full_load = 60;
 /// Requests of the service over a move, fewer of which do not show faults early enough.
-constexpr double least_total_requests = 12'000.0;
+constexpr double least_total_requests = 20'000.0;
 constexpr millis least_length{300'000};
 
 /// A step as parts of the move's length.
