Keep the listing's lifetime plus its spread in a planned stop

Cause: a node may stand in another node's list for the time that the notice of its stop needs to spread, and callers use that list for its full lifetime.

Change: linger for the lifetime and two seconds; the callers of the restart tests keep lists for exactly their lifetime.

--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -37,6 +37,8 @@
 constexpr int exit_bad_settings = 2;
 /// Part of the drain time in which running answers may end here before they are handed over.
 constexpr int drain_grace_divisor = 4;
+/// Time in which all nodes have heard that one leaves and no longer list it.
+constexpr millis spread_time{2'000};
 /// How often a node looks whether it has become ready or its host leaves.
 constexpr micros watch_period{200'000};
 
@@ -53,7 +55,7 @@
 /// Waits while callers may still come with an address that `GET /v1/entries` gave them.
 void linger(const process_settings& settings, const boot_clock& time, time_point leaving_since) {
     constexpr millis poll{50};
-    while (time.now() - leaving_since < settings.entries_lifetime) {
+    while (time.now() - leaving_since < settings.entries_lifetime + spread_time) {
         std::this_thread::sleep_for(poll);
     }
 }
--- a/tests/system/planned_stop_test.cc
+++ b/tests/system/planned_stop_test.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <iostream>
 #include <mutex>
 #include <thread>
@@ -27,8 +28,47 @@
     }
 }
 
-/// Callers that send stream after stream: each keeps its entry's address for a while and takes the
-/// next one from `GET /v1/entries`, as clients do. Refusals as not run are sent again elsewhere.
+/// The entries that a client uses: keeps the list for its full lifetime, then asks for a new one.
+class address_book {
+public:
+    explicit address_book(const endpoint& first) : entries_{first} { refresh(); }
+
+    endpoint current() {
+        if (std::chrono::steady_clock::now() >= good_until_) {
+            refresh();
+        }
+        return entries_.front();
+    }
+    /// Asks the entries of the list in their order.
+    void refresh() {
+        for (const endpoint& known : std::vector<endpoint>(entries_)) {
+            const auto answer = http_call(known, "GET", "/v1/entries", "", {});
+            if (answer.ok() && answer->status == 200 && take(answer->body)) {
+                return;
+            }
+        }
+    }
+
+private:
+    bool take(const std::string& body) {
+        const auto list = nlohmann::json::parse(body);
+        std::vector<endpoint> fresh;
+        for (const auto& entry : list["entries"]) {
+            fresh.push_back(parse_endpoint(entry["address"]).value());
+        }
+        if (fresh.empty()) {
+            return false;
+        }
+        entries_ = std::move(fresh);
+        good_until_ = std::chrono::steady_clock::now() + millis(list["lifetime_ms"].get<int>());
+        return true;
+    }
+
+    std::vector<endpoint> entries_;
+    std::chrono::steady_clock::time_point good_until_;
+};
+
+/// Callers that send stream after stream, as clients do. Refusals as not run are sent again.
 class steady_callers {
 public:
     steady_callers(const system_fixture& system, int count) {
@@ -54,33 +94,29 @@
 
 private:
     static constexpr std::uint32_t pieces = 150;
-    static constexpr int calls_for_one_address = 2;
 
-    void run(int number, endpoint entry) {
+    void run(int number, const endpoint& first) {
+        address_book entries(first);
         for (int call = 0; !stopping_; ++call) {
-            if (call % calls_for_one_address == 0) {
-                entry = next_entry(entry);
-            }
-            const std::string prompt =
-                "caller " + std::to_string(number) + " call " + std::to_string(call);
-            send(prompt, entry);
+            send("caller " + std::to_string(number) + " call " + std::to_string(call), entries);
         }
     }
 
-    void send(const std::string& prompt, endpoint& entry) {
+    void send(const std::string& prompt, address_book& entries) {
         for (;;) {
-            const caller_answer answer =
-                standin_caller(entry, system_fixture::key).stream("chat", prompt, pieces);
+            const caller_answer answer = standin_caller(entries.current(), system_fixture::key)
+                                             .stream("chat", prompt, pieces);
             moves += answer.moves;
             if (answer.outcome == "not_run") {
                 ++refused;
-                entry = next_entry(entry);
+                entries.refresh();
                 std::this_thread::sleep_for(millis{20});
                 continue;
             }
             const bool good = answer.whole && answer.text == standin_answer(prompt, pieces);
             ++(good ? whole : broken);
             if (!good) {
+                std::this_thread::sleep_for(millis{20});
                 const std::lock_guard lock(mutex);
                 notes += std::to_string(answer.status) + " " + answer.code + " " + answer.error +
                          " moves " + std::to_string(answer.moves) + "\n";
@@ -89,15 +125,6 @@
         }
     }
 
-    static endpoint next_entry(const endpoint& known) {
-        const auto answer = http_call(known, "GET", "/v1/entries", "", {});
-        if (!answer.ok() || answer->status != 200) {
-            return known;
-        }
-        const auto entries = nlohmann::json::parse(answer->body)["entries"];
-        return entries.empty() ? known : parse_endpoint(entries[0]["address"]).value_or(known);
-    }
-
     std::atomic<bool> stopping_{false};
     std::vector<std::thread> threads_;
 };
@@ -139,8 +166,7 @@
     callers.stop();
     std::cout << "rolling restart by signal " << signal << ": " << callers.whole << " whole, "
               << callers.broken << " broken, " << callers.moves << " moves, " << callers.refused
-              << " refused as not run and sent again\n"
-              << callers.notes;
+              << " refused as not run and sent again\n";
 }
 
 } // namespace
@@ -153,6 +179,7 @@
     }
     steady_callers callers(system, 12);
     restart_all(system, callers, SIGTERM);
+    INFO(callers.notes);
     CHECK(callers.broken == 0);
     CHECK(callers.whole >= 12);
     CHECK(callers.moves > 0);
