--- a/src/ctl/ctl_environment.cc
+++ b/src/ctl/ctl_environment.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
+#include <tclap/CmdLine.h>
 
 #include <fstream>
 #include <sstream>
--- a/src/ctl/move_commands.cc
+++ b/src/ctl/move_commands.cc
@@ -6,6 +6,7 @@
 #include "jujubetide/edge/system_random.h"
 
 #include <absl/strings/str_cat.h>
+#include <tclap/CmdLine.h>
 
 namespace jujubetide {
 namespace {
--- a/src/ctl/report_commands.cc
+++ b/src/ctl/report_commands.cc
@@ -4,6 +4,7 @@
 #include "ctl/text_table.h"
 
 #include <absl/strings/str_cat.h>
+#include <tclap/CmdLine.h>
 
 namespace jujubetide {
 namespace {
--- a/src/ctl/run_ctl.cc
+++ b/src/ctl/run_ctl.cc
@@ -2,6 +2,8 @@
 
 #include "ctl/commands.h"
 
+#include <tclap/CmdLine.h>
+
 #include <array>
 
 namespace jujubetide {
--- a/src/ctl/settings_commands.cc
+++ b/src/ctl/settings_commands.cc
@@ -6,6 +6,7 @@
 #include "jujubetide/edge/system_random.h"
 
 #include <absl/strings/str_cat.h>
+#include <tclap/CmdLine.h>
 
 namespace jujubetide {
 namespace {
@@ -18,7 +19,7 @@
     if (!documents.ok()) {
         return documents;
     }
-    const absl::Status checked = check_settings_tree(*documents, directory).to_status();
+    absl::Status checked = check_settings_tree(*documents, directory).to_status();
     if (!checked.ok()) {
         return checked;
     }
@@ -127,7 +128,7 @@
     if (!planned.ok()) {
         return planned.status();
     }
-    const absl::Status checked = client->check(planned->plan.edits);
+    absl::Status checked = client->check(planned->plan.edits);
     if (!checked.ok()) {
         return checked;
     }
@@ -157,7 +158,7 @@
     if (!planned.ok()) {
         return planned.status();
     }
-    const absl::Status current = check_expected(expected.getValue(), planned->view.at);
+    absl::Status current = check_expected(expected.getValue(), planned->view.at);
     if (!current.ok()) {
         return current;
     }
