--- a/src/membership/fact_flood.cc
+++ b/src/membership/fact_flood.cc
@@ -81,7 +81,9 @@
         }
         return;
     }
-    in.result.urgent = in.result.urgent || is_urgent(key);
+    if (is_urgent(key)) {
+        in.result.urgent.push_back(key);
+    }
     if (key.kind == fact_kind::member) {
         in.result.changed_members.emplace_back(key.id);
     }
--- a/src/membership/fact_flood.h
+++ b/src/membership/fact_flood.h
@@ -22,8 +22,8 @@
         wire::facts_message reply;
         /// Members whose records changed.
         std::vector<node_id> changed_members;
-        /// Something changed that must spread without delay.
-        bool urgent = false;
+        /// Changed facts that must spread without delay.
+        std::vector<fact_key> urgent;
     };
 
     /// Joins a message's facts. InvalidArgument when it is malformed; the facts before the fault
--- a/src/membership/load_messages.h
+++ b/src/membership/load_messages.h
@@ -8,16 +8,20 @@
 
 namespace jujubetide::wire {
 
-/// A load of one backend server, short enough to be sent each second: about 16 bytes.
+/// Prompt tokens are told in this unit, so that they take three bytes at most.
+constexpr std::uint32_t tokens_unit = 64;
+
+/// A load of one backend server, short enough to be sent each second: about 12 bytes.
 struct load_record {
     /// Hash of the server's id.
     std::uint32_t server = 0;
-    /// Milliseconds of the report's sequence number after the message's base.
+    /// The report's sequence number less the message's base.
     std::int32_t offset = 0;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
-    std::uint32_t waiting_prompt_tokens = 0;
-    MSGPACK_DEFINE(server, offset, running, waiting, waiting_prompt_tokens)
+    /// Prompt tokens that wait, in `tokens_unit`, rounded up.
+    std::uint32_t waiting_tokens = 0;
+    MSGPACK_DEFINE(server, offset, running, waiting, waiting_tokens)
 };
 
 /// The parts of a load that seldom change; sent when they do, and now and then.
@@ -40,6 +44,7 @@
     /// `sequence - 1 - i`. Only in repairs, which are not passed on.
     std::uint32_t replaces = 0;
     bool repair = false;
+    /// Civil time in hundredths of a second, as are the sequence numbers of loads.
     std::int64_t base = 0;
     std::vector<load_record> loads;
     std::vector<load_details_record> details;
--- a/src/membership/load_spread.cc
+++ b/src/membership/load_spread.cc
@@ -1,6 +1,6 @@
 // Two nodes that both take themselves for a server's watcher or a domain's collector cost bytes,
 // not truth: a load is taken only when its sequence number, the civil time of the report in
-// milliseconds, is higher than the known one.
+// hundredths of a second, is higher than the known one.
 #include "membership/load_spread.h"
 
 #include "jujubetide/base/rendezvous_hash.h"
@@ -31,6 +31,11 @@
     return static_cast<std::uint32_t>(stable_hash(id.str()));
 }
 
+std::uint32_t to_token_units(token_count tokens) {
+    const std::uint64_t units = (tokens.value() + wire::tokens_unit - 1) / wire::tokens_unit;
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(units, UINT32_MAX));
+}
+
 bool same_load(const load_report& a, const load_report& b) {
     return a.running == b.running && a.waiting == b.waiting &&
            a.waiting_prompt_tokens == b.waiting_prompt_tokens;
@@ -44,6 +49,15 @@
 
 void load_spread::set_members(std::vector<member> members) {
     members_ = std::move(members);
+    node_hashes_.clear();
+    domain_hashes_.clear();
+    for (const member& node : members_) {
+        const std::uint64_t hash = stable_hash(node.node.str());
+        node_hashes_.push_back(hash);
+        domain_hashes_[node.failure_domain].push_back(hash);
+    }
+    tree_orders_.clear();
+    choose_collectors();
     choose_duties();
 }
 
@@ -70,20 +84,17 @@
 
 std::size_t load_spread::rank_of_self(const backend_server_settings& server) const {
     constexpr std::size_t last_rank = 2;
-    const std::uint64_t key = stable_hash(server.id.str());
-    const std::uint64_t own = rendezvous_weight(key, stable_hash(self_.node.str()));
-    const bool domain_has_nodes =
-        std::any_of(members_.begin(), members_.end(), [&](const member& node) {
-            return node.failure_domain == server.failure_domain;
-        });
-    if (domain_has_nodes && self_.failure_domain != server.failure_domain) {
+    const auto domain = domain_hashes_.find(server.failure_domain);
+    if (domain != domain_hashes_.end() && self_.failure_domain != server.failure_domain) {
         return last_rank;
     }
+    const auto& hashes = domain == domain_hashes_.end() ? node_hashes_ : domain->second;
+    const std::uint64_t key = stable_hash(server.id.str());
+    const std::uint64_t own_hash = stable_hash(self_.node.str());
+    const std::uint64_t own = rendezvous_weight(key, own_hash);
     std::size_t rank = 0;
-    for (const member& node : members_) {
-        const bool candidate = !domain_has_nodes || node.failure_domain == server.failure_domain;
-        if (candidate && node.node != self_.node &&
-            rendezvous_weight(key, stable_hash(node.node.str())) > own && ++rank == last_rank) {
+    for (const std::uint64_t hash : hashes) {
+        if (hash != own_hash && rendezvous_weight(key, hash) > own && ++rank == last_rank) {
             return last_rank;
         }
     }
@@ -126,7 +137,8 @@
         return;
     }
     server_state& state = found->second;
-    const auto civil = static_cast<std::uint64_t>(wall_now.time_since_epoch().count());
+    constexpr millis sequence_unit{10};
+    const auto civil = static_cast<std::uint64_t>(wall_now.time_since_epoch() / sequence_unit);
     load.sequence = sequence_number(std::max(civil, state.load.sequence.value() + 1));
     state.changed = state.changed || !state.has_load || !same_load(state.load, load) ||
                     now - state.sent >= (state.echoed ? refresh_period : resend_period);
@@ -141,41 +153,65 @@
     board_.report_load(id, load, now);
 }
 
-const member* load_spread::collector() const {
-    const std::uint64_t key = stable_hash("collector:" + self_.failure_domain.str());
-    const member* best = nullptr;
-    std::uint64_t highest = 0;
-    for (const member& node : members_) {
-        const std::uint64_t weight = rendezvous_weight(key, stable_hash(node.node.str()));
-        if (node.failure_domain == self_.failure_domain && (best == nullptr || weight > highest)) {
-            best = &node;
-            highest = weight;
+void load_spread::choose_collectors() {
+    collectors_.clear();
+    const auto weight = [this](std::size_t i) {
+        const member& node = members_[i];
+        return rendezvous_weight(stable_hash("collector:" + node.failure_domain.str()),
+                                 node_hashes_[i]);
+    };
+    for (std::size_t i = 0; i < members_.size(); ++i) {
+        const auto [place, added] = collectors_.try_emplace(members_[i].failure_domain, i);
+        if (!added && weight(i) > weight(place->second)) {
+            place->second = i;
         }
     }
-    return best;
 }
 
-std::vector<endpoint> load_spread::children(const std::string& root) const {
-    const auto place_of = [this](const std::string& node) {
-        return static_cast<std::size_t>(std::lower_bound(members_.begin(), members_.end(), node,
-                                                         [](const member& a, const std::string& b) {
-                                                             return a.node.str() < b;
-                                                         }) -
-                                        members_.begin());
-    };
-    const std::size_t count = members_.size();
-    const std::size_t root_place = place_of(root);
-    const std::size_t own_place = place_of(self_.node.str());
-    if (root_place >= count || own_place >= count || members_[root_place].node.str() != root ||
-        members_[own_place].node != self_.node) {
-        return {};
+// The inner places of each tree go to another part of the member list, so that with as many trees
+// as twice the fan-out every node is an inner one in two. Collectors, which have their own tree to
+// feed, come last and are leaves in the other trees.
+const std::vector<std::size_t>& load_spread::tree_order(const std::string& root) {
+    const auto [place, added] = tree_orders_.try_emplace(root);
+    std::vector<std::size_t>& order = place->second;
+    const auto found = std::find_if(members_.begin(), members_.end(), [&root](const member& node) {
+        return node.node.str() == root;
+    });
+    if (!added || found == members_.end()) {
+        return order;
+    }
+    const auto root_index = static_cast<std::size_t>(found - members_.begin());
+    std::vector<std::size_t> ring;
+    std::vector<std::size_t> others;
+    for (std::size_t i = 0; i < members_.size(); ++i) {
+        if (i != root_index) {
+            const bool collects = collectors_.at(members_[i].failure_domain) == i;
+            (collects ? others : ring).push_back(i);
+        }
     }
-    const std::size_t position = (own_place + count - root_place) % count;
+    const auto tree = static_cast<std::size_t>(
+        std::distance(collectors_.begin(), collectors_.find(found->failure_domain)));
+    const std::size_t turn = ring.empty() ? 0 : tree * ring.size() / fan_out % ring.size();
+    std::rotate(ring.begin(), ring.begin() + static_cast<std::ptrdiff_t>(turn), ring.end());
+    order.push_back(root_index);
+    order.insert(order.end(), ring.begin(), ring.end());
+    order.insert(order.end(), others.begin(), others.end());
+    return order;
+}
+
+std::vector<endpoint> load_spread::children(const std::string& root) {
+    const std::vector<std::size_t>& order = tree_order(root);
+    const auto own = std::find_if(order.begin(), order.end(),
+                                  [this](std::size_t i) { return members_[i].node == self_.node; });
     std::vector<endpoint> result;
+    if (own == order.end()) {
+        return result;
+    }
+    const auto position = static_cast<std::size_t>(own - order.begin());
     for (std::size_t i = 1; i <= fan_out; ++i) {
         const std::size_t child = fan_out * position + i;
-        if (child < count) {
-            result.push_back(members_[(root_place + child) % count].peer_address);
+        if (child < order.size()) {
+            result.push_back(members_[order[child]].peer_address);
         }
     }
     return result;
@@ -198,7 +234,7 @@
         message.loads.push_back(
             {hash, static_cast<std::int32_t>(std::max<std::int64_t>(offset, INT32_MIN)),
              state.load.running, state.load.waiting,
-             static_cast<std::uint32_t>(state.load.waiting_prompt_tokens.value())});
+             to_token_units(state.load.waiting_prompt_tokens)});
         if (state.details_changed && state.has_details) {
             message.details.push_back(
                 {hash, state.load.max_running, state.load.version.str(), state.load.leaving});
@@ -215,10 +251,11 @@
 
 std::vector<load_delivery> load_spread::round(time_point now) {
     drop_old(now);
-    const member* target = collector();
-    if (target == nullptr) {
+    const auto duty = collectors_.find(self_.failure_domain);
+    if (duty == collectors_.end()) {
         return {};
     }
+    const member* target = &members_[duty->second];
     wire::loads_message message = take_changed(target->node == self_.node, now);
     if (message.loads.empty()) {
         return {};
@@ -272,7 +309,8 @@
             static_cast<std::uint64_t>(std::max<std::int64_t>(message.base + record.offset, 0)));
         load.running = record.running;
         load.waiting = record.waiting;
-        load.waiting_prompt_tokens = token_count(record.waiting_prompt_tokens);
+        load.waiting_prompt_tokens =
+            token_count(std::uint64_t{record.waiting_tokens} * wire::tokens_unit);
         if (!state.has_details) {
             const backend_server_settings* server = settings_->find_backend_server(state.id);
             load.version = server == nullptr ? version_id() : server->version;
--- a/src/membership/load_spread.h
+++ b/src/membership/load_spread.h
@@ -89,8 +89,10 @@
 
     void choose_duties();
     [[nodiscard]] std::size_t rank_of_self(const backend_server_settings& server) const;
-    [[nodiscard]] const member* collector() const;
-    [[nodiscard]] std::vector<endpoint> children(const std::string& root) const;
+    void choose_collectors();
+    [[nodiscard]] std::vector<endpoint> children(const std::string& root);
+    /// The members in the order of the tree's places, the root first; empty when it is unknown.
+    const std::vector<std::size_t>& tree_order(const std::string& root);
     wire::loads_message take_changed(bool as_collector, time_point now);
     void apply(const wire::loads_message& message, time_point now);
     void apply(server_state& state, const load_report& load, time_point now);
@@ -103,6 +105,13 @@
     backend_board& board_;
     member self_;
     std::vector<member> members_;
+    /// Hashes of the members' ids, all and by failure domain.
+    std::vector<std::uint64_t> node_hashes_;
+    absl::flat_hash_map<failure_domain_id, std::vector<std::uint64_t>> domain_hashes_;
+    /// Each failure domain's collector, as an index into `members_`.
+    std::map<failure_domain_id, std::size_t> collectors_;
+    /// By root, until the members change.
+    absl::flat_hash_map<std::string, std::vector<std::size_t>> tree_orders_;
     snapshot_ptr settings_;
     /// By hash of the server's id; servers whose hashes collide are left out.
     absl::flat_hash_map<std::uint32_t, server_state> servers_;
--- a/src/membership/membership_state.cc
+++ b/src/membership/membership_state.cc
@@ -18,6 +18,8 @@
 
 constexpr int differing_roots_before_digest = 2;
 constexpr micros digest_period{1'000'000};
+/// Urgent facts are told twice, so that a lost message costs no round of digests.
+constexpr micros repeat_after{500'000};
 
 } // namespace
 
@@ -202,7 +204,10 @@
     }
     send_facts(from, std::move(received.reply), effects);
     refute_if_needed(effects);
-    if (received.urgent) {
+    for (const fact_key& key : received.urgent) {
+        repeats_.emplace_back(with_.time.now() + repeat_after, key);
+    }
+    if (!received.urgent.empty()) {
         flush(effects);
     }
 }
@@ -367,6 +372,8 @@
     run_detector(effects);
     update_neighbours(effects);
     take_settings_from_board();
+    ask_settings_again(effects);
+    repeat_urgent();
     if (now >= next_heartbeat_) {
         next_heartbeat_ = now + config_.heartbeat_period;
         store_.drop_expired_hosts(with_.time.wall_now());
@@ -456,15 +463,13 @@
     }
     const struct leaving_host mark { host, now };
     store_.join(mark, now);
-    flood_.mark_changed({fact_kind::leaving_host, host.str()});
-    flush(effects);
+    publish({fact_kind::leaving_host, host.str()}, effects);
 }
 
 void membership_node::state::publish_move(const version_move& record, membership_effects& effects) {
     const std::lock_guard lock(mutex_);
     store_.join(record);
-    flood_.mark_changed({fact_kind::move, record.service.str()});
-    flush(effects);
+    publish({fact_kind::move, record.service.str()}, effects);
 }
 
 void membership_node::state::publish_settings(membership_effects& effects) {
@@ -517,6 +522,41 @@
     return settings_.ready(std::min(config_.settings_domains, others.size()));
 }
 
+void membership_node::state::ask_settings_again(membership_effects& effects) {
+    if (settings_.highest_told() <= settings_.at()) {
+        return;
+    }
+    std::vector<endpoint> ahead;
+    for (const member& neighbour : neighbours_) {
+        const member* known = store_.find_member(neighbour.node);
+        if (known != nullptr && known->settings > settings_.at()) {
+            ahead.push_back(known->peer_address);
+        }
+    }
+    if (ahead.empty()) {
+        return;
+    }
+    const auto question = settings_.question(with_.time.now());
+    if (question) {
+        effects.messages.push_back({ahead[with_.random.below(ahead.size())],
+                                    peer_message_kind::settings_fetch, wire::encode(*question)});
+    }
+}
+
+void membership_node::state::repeat_urgent() {
+    const time_point now = with_.time.now();
+    while (!repeats_.empty() && repeats_.front().first <= now) {
+        flood_.mark_changed(repeats_.front().second);
+        repeats_.pop_front();
+    }
+}
+
+void membership_node::state::publish(const fact_key& key, membership_effects& effects) {
+    flood_.mark_changed(key);
+    repeats_.emplace_back(with_.time.now() + repeat_after, key);
+    flush(effects);
+}
+
 // The neighbours of a fresh node may lie in fewer failure domains than it must hear.
 void membership_node::state::ask_other_domains(membership_effects& effects) {
     if (update_readiness()) {
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -8,9 +8,11 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <deque>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jujubetide {
@@ -75,6 +77,9 @@
     static void send_loads(const std::vector<load_delivery>& deliveries,
                            membership_effects& effects);
     void probe(membership_effects& effects);
+    void ask_settings_again(membership_effects& effects);
+    void repeat_urgent();
+    void publish(const fact_key& key, membership_effects& effects);
     void ask_other_domains(membership_effects& effects);
     [[nodiscard]] bool update_readiness();
     void flush(membership_effects& effects);
@@ -96,6 +101,8 @@
     std::uint64_t neighbours_version_ = 0;
     /// Heartbeats in a row whose hash of all facts differed from the own one.
     absl::flat_hash_map<node_id, int> differing_roots_;
+    /// Urgent facts that are told a second time, and when.
+    std::deque<std::pair<time_point, fact_key>> repeats_;
     time_point next_heartbeat_{};
     time_point next_probe_{};
     time_point last_digest_{};
--- a/src/membership/overlay.cc
+++ b/src/membership/overlay.cc
@@ -19,14 +19,22 @@
 struct candidate {
     const member* record = nullptr;
     std::uint64_t hash = 0;
+    /// Hashes of the failure domain and the region.
+    std::uint64_t domain = 0;
+    std::uint64_t region = 0;
 };
 
-bool in_scope(const member& self, const member& other, scope wanted) {
+candidate to_candidate(const member& record) {
+    return {&record, stable_hash(record.node.str()), stable_hash(record.failure_domain.str()),
+            stable_hash(record.region.str())};
+}
+
+bool in_scope(const candidate& self, const candidate& other, scope wanted) {
     switch (wanted) {
     case scope::domain:
-        return other.failure_domain == self.failure_domain;
+        return other.domain == self.domain;
     case scope::region:
-        return other.region == self.region && other.failure_domain != self.failure_domain;
+        return other.region == self.region && other.domain != self.domain;
     case scope::world:
         return other.region != self.region;
     case scope::all:
@@ -42,20 +50,19 @@
 /// Whether `chooser` picks `target` within a scope.
 bool picks(const std::vector<candidate>& candidates, const candidate& chooser,
            const candidate& target, scope wanted) {
-    if (!in_scope(*chooser.record, *target.record, wanted)) {
+    if (!in_scope(chooser, target, wanted)) {
         return false;
     }
     const std::uint64_t limit = weight_of(chooser, target, wanted);
     return std::none_of(candidates.begin(), candidates.end(), [&](const candidate& other) {
         return other.record != chooser.record && other.record != target.record &&
-               in_scope(*chooser.record, *other.record, wanted) &&
-               weight_of(chooser, other, wanted) > limit;
+               in_scope(chooser, other, wanted) && weight_of(chooser, other, wanted) > limit;
     });
 }
 
 bool scope_empty(const std::vector<candidate>& candidates, const candidate& chooser, scope wanted) {
     return std::none_of(candidates.begin(), candidates.end(), [&](const candidate& other) {
-        return other.record != chooser.record && in_scope(*chooser.record, *other.record, wanted);
+        return other.record != chooser.record && in_scope(chooser, other, wanted);
     });
 }
 
@@ -77,10 +84,10 @@
 std::vector<member> choose_neighbours(const member& self, const std::vector<member>& members) {
     std::vector<candidate> candidates;
     candidates.reserve(members.size() + 1);
-    candidates.push_back({&self, stable_hash(self.node.str())});
+    candidates.push_back(to_candidate(self));
     for (const member& other : members) {
         if (other.node != self.node) {
-            candidates.push_back({&other, stable_hash(other.node.str())});
+            candidates.push_back(to_candidate(other));
         }
     }
     const candidate own = candidates.front();
--- a/src/membership/settings_sync.cc
+++ b/src/membership/settings_sync.cc
@@ -10,7 +10,9 @@
 namespace jujubetide {
 namespace {
 
-constexpr micros ask_again_after{1'000'000};
+/// Times after which an answer that has not come is taken for lost.
+constexpr micros delta_timeout{400'000};
+constexpr micros whole_timeout{2'000'000};
 
 } // namespace
 
@@ -52,14 +54,20 @@
                                                              revision told, time_point now) {
     told_domains_.insert(domain);
     highest_told_ = std::max(highest_told_, told);
-    if (told <= at() || told <= refused_ || (asking_ && now - asked_ < ask_again_after)) {
+    return told > at() ? question(now) : std::nullopt;
+}
+
+std::optional<wire::settings_message> settings_sync::question(time_point now) {
+    const bool whole = whole_wanted_ || current_ == nullptr;
+    const bool waits = asking_ && now - asked_ < (whole ? whole_timeout : delta_timeout);
+    if (highest_told_ <= at() || highest_told_ <= refused_ || waits) {
         return std::nullopt;
     }
     asking_ = true;
     asked_ = now;
-    wire::settings_message question;
-    question.base = whole_wanted_ ? 0 : at().value();
-    return question;
+    wire::settings_message message;
+    message.base = whole ? 0 : at().value();
+    return message;
 }
 
 std::optional<wire::settings_message>
--- a/src/membership/settings_sync.h
+++ b/src/membership/settings_sync.h
@@ -34,6 +34,8 @@
     /// A peer in `domain` has told its revision. Returns the question to send it, if any.
     std::optional<wire::settings_message> on_told(const failure_domain_id& domain, revision told,
                                                   time_point now);
+    /// The question to send to a peer that knows more, unless an answer is still awaited.
+    std::optional<wire::settings_message> question(time_point now);
     /// Answers a peer's question; nothing when this node has nothing newer.
     [[nodiscard]] std::optional<wire::settings_message>
     answer(const wire::settings_message& question) const;
--- a/tests/membership/membership_node_test.cc
+++ b/tests/membership/membership_node_test.cc
@@ -132,6 +132,17 @@
 TEST_CASE("mutated messages are refused or joined and never end the process") {
     simulated_cluster cluster(lossy(5));
     std::vector<peer_message> samples;
+    for (int i = 0; i < 10; ++i) {
+        backend_server_settings server;
+        server.id = backend_server_id("engine-" + std::to_string(i));
+        server.failure_domain = failure_domain_id("domain-" + std::to_string(i % 4));
+        cluster.builder.servers.push_back(server);
+    }
+    cluster.after_tick = [](simulated_cluster::process& entry) {
+        for (const backend_server_id& id : entry.node.watched_servers()) {
+            entry.node.report_load(id, {});
+        }
+    };
     cluster.start_all();
     cluster.run_for(5s);
     cluster.processes[4]->frozen = true;
--- a/tests/support/simulated_cluster.h
+++ b/tests/support/simulated_cluster.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "support/manual_clock.h"
+#include "manual_clock.h"
 
 #include "jujubetide/membership/membership_node.h"
 
