--- a/src/membership/load_spread.cc
+++ b/src/membership/load_spread.cc
@@ -191,7 +191,10 @@
     }
     const auto tree = static_cast<std::size_t>(
         std::distance(collectors_.begin(), collectors_.find(found->failure_domain)));
-    const std::size_t turn = ring.empty() ? 0 : tree * ring.size() / fan_out % ring.size();
+    const std::size_t part = tree * ring.size() / fan_out;
+    // Later rounds of trees are shifted, so that rounded borders do not meet at the same nodes.
+    const std::size_t shift = tree / fan_out * ring.size() / (2 * fan_out);
+    const std::size_t turn = ring.empty() ? 0 : (part + shift) % ring.size();
     std::rotate(ring.begin(), ring.begin() + static_cast<std::ptrdiff_t>(turn), ring.end());
     order.push_back(root_index);
     order.insert(order.end(), ring.begin(), ring.end());
