--- a/include/jujubetide/blackboard/move_board.h
+++ b/include/jujubetide/blackboard/move_board.h
@@ -11,7 +11,8 @@
 namespace jujubetide {
 
 /// The states of a version move, in the order in which they may follow each other. `done` and
-/// `taken_back` are final; `taken_back` wins wherever nodes have seen both `ramp` and it.
+/// `taken_back` end it; the table records exactly one of them. A `taken_back` that the table has
+/// not recorded yet only stops the traffic (see is_recorded_end).
 enum class move_state : std::uint8_t { planned, canary, ramp, done, taken_back };
 
 /// One move of a service's traffic from one version to another.
@@ -29,14 +30,16 @@
     sequence_number step;
     /// Why the move ended.
     std::string evidence;
+    /// When the table recorded the end; the epoch while it has not.
     wall_time ended{};
 };
 
-/// Joins two records of the same move: `taken_back` wins over `done`, both over any other state,
-/// and otherwise the higher step wins; equal steps go by the remaining fields. Commutative,
-/// associative and idempotent. A node that took the version back before it heard that the table had
-/// made the move `done` wins everywhere, and the holder of the move's lease writes that to the
-/// table.
+/// Whether the record tells the end of the move as the table has recorded it. A take-back by a node
+/// is not yet one: the node must not state it as the end.
+bool is_recorded_end(const version_move& move);
+
+/// Joins two records of the same move; commutative, associative and idempotent. An end that the
+/// table recorded wins, then a take-back by a node, then the higher step.
 version_move join_moves(const version_move& a, const version_move& b);
 
 /// The version moves that a node knows of, one for each service. Thread-safe, in shards.
@@ -47,9 +50,9 @@
     bool merge(const version_move& record);
     [[nodiscard]] std::optional<version_move> of_service(const service_id& service) const;
     [[nodiscard]] std::vector<version_move> all() const;
-    /// Marks a version as taken back at this node at once; the mark is sticky for the move.
-    bool take_back(const service_id& service, const move_id& move, const std::string& evidence,
-                   wall_time now);
+    /// Stops the traffic of a version under trial at this node at once, sticky for the move; the
+    /// take-back is not recorded yet (see is_recorded_end). Returns whether it is new.
+    bool take_back(const service_id& service, const move_id& move, const std::string& evidence);
 
 private:
     sharded_map<service_id, version_move> moves_;
--- a/src/blackboard/move_board.cc
+++ b/src/blackboard/move_board.cc
@@ -10,49 +10,48 @@
     return state == move_state::done || state == move_state::taken_back;
 }
 
-/// The final state, or `planned` for every state that may still change.
-move_state final_state(const version_move& record) {
-    return is_final(record.state) ? record.state : move_state::planned;
-}
-
-/// All fields but the final state, the most significant first.
-auto fields(const version_move& record) {
-    return std::tie(record.step, record.state, record.ended, record.share, record.evidence,
-                    record.due, record.from, record.to, record.service, record.start, record.id);
-}
-
-/// A total order over every field: records that differ at all are joined to the same one at every
-/// node, also when two nodes took the version back at the same step on different evidence.
-bool precedes(const version_move& a, const version_move& b) {
-    if (final_state(a) != final_state(b)) {
-        return final_state(a) < final_state(b);
+/// The order of a move's records by how far they bind: a node's own take-back stops the traffic
+/// until the table has recorded an end, and gives way to that end, of which there is one.
+int binding(const version_move& move) {
+    switch (move.state) {
+    case move_state::taken_back:
+        return is_recorded_end(move) ? 3 : 1;
+    case move_state::done:
+        return 2;
+    default:
+        return 0;
     }
-    return fields(a) < fields(b);
 }
 
-/// Whether `a` is a newer move of the service than `b`; moves that start together go by their ids.
-bool newer_move(const version_move& a, const version_move& b) {
-    return std::tie(a.start, a.id) > std::tie(b.start, b.id);
+auto order_of(const version_move& move) {
+    return std::make_tuple(binding(move), move.step, move.state, move.share, move.ended,
+                           std::tie(move.evidence, move.due, move.start, move.from, move.to));
 }
 
 } // namespace
 
+bool is_recorded_end(const version_move& move) {
+    return is_final(move.state) && move.ended != wall_time{};
+}
+
 version_move join_moves(const version_move& a, const version_move& b) {
-    return precedes(a, b) ? b : a;
+    return order_of(a) >= order_of(b) ? a : b;
 }
 
 bool move_board::merge(const version_move& record) {
     return moves_.update(record.service, [&record](version_move& known) {
-        if (known.id.empty()) {
-            known = record;
-            return true;
+        if (known.id == record.id) {
+            const version_move joined = join_moves(known, record);
+            const bool changed = order_of(joined) != order_of(known);
+            known = joined;
+            return changed;
         }
-        const bool replaced =
-            known.id == record.id ? precedes(known, record) : newer_move(record, known);
-        if (replaced) {
+        const bool newer =
+            known.id.empty() || std::tie(record.start, record.id) > std::tie(known.start, known.id);
+        if (newer) {
             known = record;
         }
-        return replaced;
+        return newer;
     });
 }
 
@@ -69,7 +68,7 @@
 }
 
 bool move_board::take_back(const service_id& service, const move_id& move,
-                           const std::string& evidence, wall_time now) {
+                           const std::string& evidence) {
     if (!moves_.get(service)) {
         return false;
     }
@@ -80,7 +79,7 @@
         known.state = move_state::taken_back;
         known.share = 0.0;
         known.evidence = evidence;
-        known.ended = now;
+        known.ended = wall_time{};
         known.step = known.step.next();
         return true;
     });
