Run version moves under a lease and exchange their evidence by peer messages

Reports and answers go one way each, so neither blocks a timer. Only the holder of the lease answers, so trial traffic pauses where the lease lapses; ruled out: answers from any control process, which would keep a cut-off region's share. Take-backs are recorded by any control process, without the lease.

--- /dev/null
+++ b/include/jujubetide/moves/evidence_sender.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "jujubetide/base/clock.h"
+#include "jujubetide/blackboard/blackboard.h"
+#include "jujubetide/moves/trial_version_selector.h"
+#include "jujubetide/peer/peer_link.h"
+
+#include <absl/status/status.h>
+
+namespace jujubetide {
+
+/// An entry node's part of the exchange of evidence: reports to the control nodes and their
+/// answers. Thread-safe.
+class evidence_sender {
+public:
+    /// All must outlive the sender.
+    struct dependencies {
+        trial_version_selector& selector;
+        blackboard& board;
+        peer_link& link;
+    };
+
+    explicit evidence_sender(dependencies parts) : parts_(parts) {}
+
+    /// Sends a report of every move that is on; to be called once a second. Does not block.
+    void send();
+    /// Takes the answer of the node that steers a move. InvalidArgument for any other message.
+    absl::Status receive(const peer_message& message);
+
+private:
+    dependencies parts_;
+};
+
+} // namespace jujubetide
--- a/include/jujubetide/moves/move_evidence.h
+++ b/include/jujubetide/moves/move_evidence.h
@@ -60,6 +60,17 @@
     /// Whether the node has stopped sending to the version under trial.
     bool stopped = false;
     std::vector<evidence_cell> cells;
+    /// When the node sent it, on the node's own clock; comes back in the answer.
+    time_point sent_at{};
+};
+
+/// What the node that steers a move answers to a report.
+struct evidence_answer {
+    service_id service;
+    move_id move;
+    /// The step of the move that the steering node knows.
+    sequence_number step;
+    time_point sent_at{};
 };
 
 /// Counters of a move from many nodes. Merging is commutative, associative and idempotent, since
--- /dev/null
+++ b/src/control/move_runner.cc
@@ -0,0 +1,181 @@
+#include "control/move_runner.h"
+
+#include "control/control_events.h"
+#include "control/move_codec.h"
+
+#include "jujubetide/moves/move_evidence_codec.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+// Steps towards risk (raise, finish) need the lease and a transaction on the row that the decision
+// was made on. Steps towards safety (stop, take back) are published first and recorded when the
+// table can be reached, by any control process.
+
+namespace jujubetide {
+namespace {
+
+constexpr micros renewal_period{4'000'000};
+
+} // namespace
+
+void move_runner::step() {
+    renew_lease();
+    if (auto read = parts_.moves.list(); read.ok()) {
+        rows_ = *std::move(read);
+    }
+    for (const stored_move& stored : rows_) {
+        parts_.board.moves.merge(stored.move);
+        if (!is_recorded_end(stored.move)) {
+            step_move(stored);
+        }
+    }
+}
+
+void move_runner::renew_lease() {
+    const time_point now = parts_.time.now();
+    if (last_renewal_ != time_point{} && now - last_renewal_ < renewal_period) {
+        return;
+    }
+    last_renewal_ = now;
+    // A renewal that fails is told by `held`.
+    (void)parts_.lease.step();
+}
+
+void move_runner::step_move(const stored_move& stored) {
+    const auto known = parts_.board.moves.of_service(stored.move.service);
+    if (!known || known->id != stored.move.id || is_recorded_end(*known)) {
+        return;
+    }
+    if (known->state == move_state::taken_back) {
+        record_stop(stored);
+        return;
+    }
+    if (!parts_.lease.held()) {
+        const std::lock_guard lock(mutex_);
+        controllers_.erase(stored.move.service);
+        return;
+    }
+    move_action action;
+    {
+        const std::lock_guard lock(mutex_);
+        action = controller_of(stored.move).decide(*known, live_entries(), parts_.time.wall_now());
+    }
+    apply(stored, action);
+}
+
+void move_runner::record_stop(const stored_move& stored) {
+    const auto known = parts_.board.moves.of_service(stored.move.service);
+    version_move ended = *known;
+    ended.step = std::max(known->step, stored.move.step.next());
+    ended.ended = parts_.time.wall_now();
+    (void)write(stored, ended);
+}
+
+void move_runner::apply(const stored_move& stored, const move_action& action) {
+    switch (action.what) {
+    case move_action::kind::none:
+        return;
+    case move_action::kind::take_back:
+        publish_stop(stored.move, action.record.evidence);
+        (void)write(stored, action.record);
+        return;
+    case move_action::kind::raise:
+    case move_action::kind::finish:
+        // The lease may have lapsed while the decision was made.
+        if (parts_.lease.held()) {
+            (void)write(stored, action.record);
+        }
+        return;
+    }
+}
+
+void move_runner::publish_stop(const version_move& move, const std::string& evidence) {
+    parts_.board.moves.take_back(move.service, move.id, evidence);
+    if (const auto stopped = parts_.board.moves.of_service(move.service)) {
+        parts_.facts.move(*stopped);
+    }
+}
+
+absl::Status move_runner::write(const stored_move& stored, const version_move& after) {
+    const move_actor actor{self_.str(), "", parts_.time.wall_now()};
+    const absl::Status written = parts_.moves.write(stored.version, after, actor);
+    if (!written.ok()) {
+        parts_.log.write(move_step_not_written,
+                         {{"move", after.id.str()}, {"reason", std::string(written.message())}});
+        return written;
+    }
+    parts_.facts.move(after);
+    parts_.log.write(move_step_written, {{"move", after.id.str()},
+                                         {"state", move_state_name(after.state)},
+                                         {"share", absl::StrCat(after.share)},
+                                         {"evidence", after.evidence}});
+    return written;
+}
+
+move_controller& move_runner::controller_of(const version_move& move) {
+    auto& controller = controllers_[move.service];
+    if (!controller || controller->move() != move.id) {
+        controller = std::make_unique<move_controller>(move, settings_for(move));
+    }
+    return *controller;
+}
+
+move_controller_settings move_runner::settings_for(const version_move& move) const {
+    move_controller_settings made;
+    const snapshot_ptr settings = parts_.board.settings.current();
+    const service_settings* service = settings ? settings->find_service(move.service) : nullptr;
+    if (service == nullptr) {
+        return made;
+    }
+    made.routes = std::max<std::size_t>(service->routes.size(), 1);
+    double running = 0.0;
+    double max_running = 1.0;
+    for (const backend_server_settings* server : settings->servers_of(move.service)) {
+        running += parts_.board.backends.state(server->id).load.running;
+        if (server->version == move.to) {
+            max_running = static_cast<double>(server->max_running);
+        }
+    }
+    made.server_share = full_server_share(running, max_running);
+    return made;
+}
+
+std::vector<node_id> move_runner::live_entries() const {
+    std::vector<node_id> entries;
+    for (const member& node : parts_.board.members.all()) {
+        if (node.role == node_role::entry && node.health != member_health::dead && !node.leaving) {
+            entries.push_back(node.node);
+        }
+    }
+    return entries;
+}
+
+absl::Status move_runner::receive(const peer_message& message) {
+    const auto report = decode_evidence_report(message.body);
+    if (!report.ok()) {
+        return report.status();
+    }
+    const auto known = parts_.board.moves.of_service(report->service);
+    if (!known || known->id != report->move || !parts_.lease.held()) {
+        return absl::OkStatus();
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        const auto controller = controllers_.find(report->service);
+        if (controller == controllers_.end()) {
+            return absl::OkStatus();
+        }
+        controller->second->receive(*report, parts_.time.wall_now());
+    }
+    const auto node = parts_.board.members.find(report->owner.node);
+    if (node && known->state != move_state::taken_back) {
+        const evidence_answer answer{report->service, report->move, known->step, report->sent_at};
+        return parts_.link.send(node->peer_address, peer_message_kind::move_evidence,
+                                encode_evidence_answer(answer));
+    }
+    return absl::OkStatus();
+}
+
+} // namespace jujubetide
--- a/src/moves/move_evidence_codec.cc
+++ b/src/moves/move_evidence_codec.cc
@@ -28,10 +28,23 @@
     std::uint64_t incarnation_number = 0;
     std::uint64_t step = 0;
     bool stopped = false;
+    std::int64_t sent_at_micros = 0;
     std::vector<wire_cell> cells;
-    MSGPACK_DEFINE(move, service, node, incarnation_number, step, stopped, cells)
+    MSGPACK_DEFINE(move, service, node, incarnation_number, step, stopped, sent_at_micros, cells)
 };
 
+struct wire_answer {
+    std::string service;
+    std::string move;
+    std::uint64_t step = 0;
+    std::int64_t sent_at_micros = 0;
+    MSGPACK_DEFINE(service, move, step, sent_at_micros)
+};
+
+std::int64_t to_micros(time_point time) {
+    return time.time_since_epoch().count();
+}
+
 wire_cell to_wire(const evidence_cell& cell) {
     wire_cell wire{
         cell.key.route.str(), cell.key.window.value(), static_cast<std::uint8_t>(cell.key.arm),
@@ -65,14 +78,15 @@
     return cell;
 }
 
-absl::StatusOr<wire_report> unpack(const std::string& body) {
+template <class Wire>
+absl::StatusOr<Wire> unpack(const std::string& body) {
     try {
         std::size_t read = 0;
         const msgpack::object_handle handle = msgpack::unpack(body.data(), body.size(), read);
         if (read != body.size()) {
-            return absl::InvalidArgumentError("bytes after the evidence report");
+            return absl::InvalidArgumentError("bytes after the message");
         }
-        return handle.get().as<wire_report>();
+        return handle.get().as<Wire>();
     } catch (const std::exception& error) {
         return absl::InvalidArgumentError(error.what());
     }
@@ -81,13 +95,10 @@
 } // namespace
 
 std::string encode_evidence_report(const evidence_report& report) {
-    wire_report wire{report.move.str(),
-                     report.service.str(),
-                     report.owner.node.str(),
-                     report.owner.at.value(),
-                     report.step.value(),
-                     report.stopped,
-                     {}};
+    wire_report wire{report.move.str(),         report.service.str(),
+                     report.owner.node.str(),   report.owner.at.value(),
+                     report.step.value(),       report.stopped,
+                     to_micros(report.sent_at), {}};
     for (const evidence_cell& cell : report.cells) {
         wire.cells.push_back(to_wire(cell));
     }
@@ -97,7 +108,7 @@
 }
 
 absl::StatusOr<evidence_report> decode_evidence_report(const std::string& body) {
-    const absl::StatusOr<wire_report> wire = unpack(body);
+    const absl::StatusOr<wire_report> wire = unpack<wire_report>(body);
     if (!wire.ok()) {
         return wire.status();
     }
@@ -109,7 +120,8 @@
                            {node_id(wire->node), incarnation(wire->incarnation_number)},
                            sequence_number(wire->step),
                            wire->stopped,
-                           {}};
+                           {},
+                           time_point(micros(wire->sent_at_micros))};
     for (const wire_cell& part : wire->cells) {
         absl::StatusOr<evidence_cell> cell = from_wire(part);
         if (!cell.ok()) {
@@ -120,4 +132,23 @@
     return report;
 }
 
+std::string encode_evidence_answer(const evidence_answer& answer) {
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, wire_answer{answer.service.str(), answer.move.str(), answer.step.value(),
+                                      to_micros(answer.sent_at)});
+    return {buffer.data(), buffer.size()};
+}
+
+absl::StatusOr<evidence_answer> decode_evidence_answer(const std::string& body) {
+    const absl::StatusOr<wire_answer> wire = unpack<wire_answer>(body);
+    if (!wire.ok()) {
+        return wire.status();
+    }
+    if (wire->service.empty() || wire->move.empty()) {
+        return absl::InvalidArgumentError("evidence answer is malformed");
+    }
+    return evidence_answer{service_id(wire->service), move_id(wire->move),
+                           sequence_number(wire->step), time_point(micros(wire->sent_at_micros))};
+}
+
 } // namespace jujubetide
--- a/src/moves/trial_version_selector.cc
+++ b/src/moves/trial_version_selector.cc
@@ -190,7 +190,7 @@
         return std::nullopt;
     }
     const bool stopped = move->state == move_state::taken_back;
-    evidence_report report{move->id, service, self_, move->step, stopped, {}};
+    evidence_report report{move->id, service, self_, move->step, stopped, {}, parts_.time.now()};
     const auto state = trials_.get(service);
     if (state && state->move == move->id) {
         const move_window current = move_window_at(*move, parts_.time.wall_now());
--- a/tests/moves/move_controller_test.cc
+++ b/tests/moves/move_controller_test.cc
@@ -32,7 +32,7 @@
     }
 
     evidence_report report() const {
-        evidence_report made{row.id, row.service, {entry, incarnation(1)}, row.step, false, {}};
+        evidence_report made{row.id, row.service, {entry, incarnation(1)}, row.step, false, {}, {}};
         for (const trial_arm arm : {trial_arm::baseline, trial_arm::trial}) {
             evidence_cell cell;
             cell.key = {route_id("main"), move_window_at(row, now), arm};
--- a/tests/moves/move_evidence_codec_test.cc
+++ b/tests/moves/move_evidence_codec_test.cc
@@ -31,9 +31,20 @@
     CHECK(read->owner == evidence_owner{node_id("n1"), incarnation(7)});
     CHECK(read->step == sequence_number(3));
     CHECK(read->stopped);
+    CHECK(read->sent_at == time_point(micros(77)));
     CHECK(read->cells == sample_report().cells);
 }
 
+TEST_CASE("an evidence answer survives its encoding and a report is none") {
+    const evidence_answer answer{service_id("s"), move_id("m1"), sequence_number(4),
+                                 time_point(micros(9))};
+    const auto read = decode_evidence_answer(encode_evidence_answer(answer));
+    REQUIRE(read.ok());
+    CHECK(read->step == sequence_number(4));
+    CHECK(read->sent_at == time_point(micros(9)));
+    CHECK_FALSE(decode_evidence_answer(encode_evidence_report(sample_report())).ok());
+}
+
 TEST_CASE("malformed evidence reports are refused") {
     const std::string whole = encode_evidence_report(sample_report());
     CHECK_FALSE(decode_evidence_report(whole + "x").ok());
--- a/tests/moves/simulation/move_simulation.cc
+++ b/tests/moves/simulation/move_simulation.cc
@@ -525,7 +525,11 @@
 
 void move_simulation::answer_report(simulated_node& node, const evidence_report& report,
                                     time_point sent_at) {
-    if (!controller_) {
+    // The lease lapses while the table is down; only its holder answers.
+    constexpr millis lease_length{14'000};
+    const bool lapsed = scenario_.table_outage.contains(time_.wall) &&
+                        scenario_.table_outage.contains(time_.wall - lease_length);
+    if (!controller_ || lapsed) {
         return;
     }
     controller_->receive(report, time_.wall);
