Join the control process to its peers

Accepted changes and moves now leave the control process by the membership, and a control process that starts while the table is away gets its settings from peers. Facts go to the own blackboard until the peer node exists, which needs the address of the operators' server first.

--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -9,6 +9,10 @@
 #include "jujubetide/edge/process_log.h"
 #include "jujubetide/edge/shutdown_signal.h"
 #include "jujubetide/edge/system_random.h"
+#include "jujubetide/edge/thread_timer_service.h"
+#include "jujubetide/membership/parsing_snapshot_builder.h"
+#include "jujubetide/peer/nghttp2_peer_link.h"
+#include "jujubetide/peer/peer_node.h"
 #include "jujubetide/platform/http_table.h"
 #include "jujubetide/settings/process_settings.h"
 
@@ -24,55 +28,75 @@
 constexpr int exit_bad_settings = 2;
 constexpr std::size_t max_change_bytes = 8U << 20U;
 
-member self_record(const process_settings& settings, const endpoint& address) {
-    member self;
-    self.node = settings.node;
-    self.host = settings.host;
-    self.failure_domain = settings.failure_domain;
-    self.region = settings.region;
-    self.role = node_role::control;
-    self.peer_address = settings.peer_listen;
-    self.public_address = address;
-    return self;
-}
+/// What the process's parts share, in the order in which they depend on each other.
+struct control_process {
+    explicit control_process(const process_settings& settings)
+        : platform_table(settings.platform),
+          bootstrap_key_sha256(settings.bootstrap_operator_key_sha256) {}
 
-int serve(const process_settings& settings) {
     boot_clock time;
-    process_log log("jujubetide-control");
+    thread_timer_service timers;
+    process_log log{"jujubetide-control"};
     seeded_random random = system_seeded_random();
+    /// Used by the membership only, which guards it by its own lock.
+    seeded_random peer_random = system_seeded_random();
     blackboard boards;
-    http_table platform_table(settings.platform);
-    settings_store store(platform_table);
-    settings_history history(platform_table);
-    move_store moves(platform_table);
-    own_facts facts(boards);
-    const control_parts parts{time,  log,     boards, facts,
-                              store, history, moves,  settings.bootstrap_operator_key_sha256};
+    parsing_snapshot_builder builder;
+    http_table platform_table;
+    settings_store store{platform_table};
+    settings_history history{platform_table};
+    move_store moves{platform_table};
+    own_facts facts{boards};
+    std::string bootstrap_key_sha256;
+    control_parts parts{time, log, boards, facts, store, history, moves, bootstrap_key_sha256};
+};
+
+http_server_options make_options(const process_settings& settings) {
     http_server_options options;
     options.listen = settings.listen;
     options.threads = settings.http_threads;
     options.max_body_bytes = max_change_bytes;
+    return options;
+}
 
-    const auto server = control_server::make(parts, options);
-    if (!server.ok()) {
-        std::cerr << server.status().message() << '\n';
-        return exit_other;
-    }
-    const member self = self_record(settings, (*server)->address());
-    boards.members.merge(self);
-    // Added before the poller, which is the first to offer settings.
-    boards.settings.add_listener([&boards, self](const snapshot_ptr& snapshot) {
-        member now = self;
-        now.settings = snapshot->at();
-        boards.members.merge(now);
-    });
-    const table_poller poller(parts, random, settings.settings_poll);
-    log.write(control_listening, {{"address", (*server)->address().str()}});
-    std::cout << "listening " << (*server)->address().str() << std::endl;
+void serve_operators(const process_settings& settings, control_process& process,
+                     control_server& server) {
+    const table_poller poller(process.parts, process.random, settings.settings_poll);
+    process.log.write(control_listening, {{"address", server.address().str()}});
+    std::cout << "listening " << server.address().str() << std::endl;
 
     wait_for_shutdown_signal();
-    (*server)->stop();
-    log.write(control_stopped, {{"node", settings.node.str()}});
+    process.facts.leaving_self();
+    server.stop();
+    process.log.write(control_stopped, {{"node", settings.node.str()}});
+}
+
+int fail(const absl::Status& status) {
+    std::cerr << status.message() << '\n';
+    return exit_other;
+}
+
+int serve(process_settings settings) {
+    auto link = nghttp2_peer_link::make(settings.peer_listen, settings.node);
+    if (!link.ok()) {
+        return fail(link.status());
+    }
+    settings.peer_listen = (*link)->listening();
+    control_process process(settings);
+    const auto server = control_server::make(process.parts, make_options(settings));
+    if (!server.ok()) {
+        return fail(server.status());
+    }
+    auto node = peer_node::make(settings, node_role::control, (*server)->address(), process.boards,
+                                **link, process.timers, process.time, process.peer_random,
+                                process.builder, process.log);
+    if (!node.ok()) {
+        return fail(node.status());
+    }
+    process.facts.spread_by((*node)->publisher());
+    (*node)->start();
+    serve_operators(settings, process, **server);
+    (*link)->stop();
     return 0;
 }
 
--- a/tests/control/move_calls_test.cc
+++ b/tests/control/move_calls_test.cc
@@ -65,6 +65,24 @@
     CHECK(control.state() == move_state::taken_back);
 }
 
+TEST_CASE("a step of a move whose reply is lost is settled by the row") {
+    moving_control control;
+    REQUIRE(control.start("m1", "v2").status == 201);
+    const auto stored = control.moves.find(service_id("diagnosis"));
+    version_move canary = (*stored)->move;
+    canary.state = move_state::canary;
+    canary.step = canary.step.next();
+    control.rows.lose_next_commit_reply();
+    CHECK(control.moves.write((*stored)->version, canary, {"control-1", "", {}}).ok());
+    control.rows.lose_next_commit();
+    const auto now = control.moves.find(service_id("diagnosis"));
+    version_move ramp = canary;
+    ramp.step = ramp.step.next();
+    CHECK(absl::IsDeadlineExceeded(
+        control.moves.write((*now)->version, ramp, {"control-1", "", {}})));
+    CHECK(absl::IsAborted(control.moves.write((*stored)->version, ramp, {"control-2", "", {}})));
+}
+
 TEST_CASE(
     "while the table is down a take-back stops the traffic and says that it is not recorded") {
     moving_control control;
