--- a/cmake/jujubetide.cmake
+++ b/cmake/jujubetide.cmake
@@ -4,7 +4,8 @@
 target_compile_options(jt_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
 if(JUJUBETIDE_SANITIZE)
     # GCC reports false positives in libstdc++ once the sanitizers' checks are compiled in.
-    target_compile_options(jt_options INTERFACE -Wno-maybe-uninitialized)
+    target_compile_options(jt_options INTERFACE
+        $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>)
 endif()
 target_include_directories(jt_options INTERFACE
     ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR}/src)
