--- a/src/membership/load_spread.cc
+++ b/src/membership/load_spread.cc
@@ -16,7 +16,7 @@
 /// An unchanged load is sent again after this time, as a sign that its watcher is at work.
 constexpr micros refresh_period{4'000'000};
 /// A report to the collector that has not come back in a batch by then is sent again.
-constexpr micros resend_period{2'000'000};
+constexpr micros resend_period{1'000'000};
 constexpr micros details_period{20'000'000};
 /// The second watcher steps in after this silence.
 constexpr micros stale_after{8'000'000};
@@ -63,7 +63,7 @@
 
 void load_spread::set_settings(const snapshot_ptr& settings) {
     settings_ = settings;
-    absl::flat_hash_map<std::uint32_t, server_state> servers;
+    std::map<std::uint32_t, server_state> servers;
     absl::flat_hash_set<std::uint32_t> collided;
     for (const backend_server_settings& server : settings->backend_servers()) {
         const std::uint32_t hash = hash_of(server.id);
@@ -77,7 +77,7 @@
             collided.insert(hash);
         }
     }
-    absl::erase_if(servers, [&](const auto& entry) { return collided.contains(entry.first); });
+    std::erase_if(servers, [&](const auto& entry) { return collided.contains(entry.first); });
     servers_ = std::move(servers);
     choose_duties();
 }
@@ -461,7 +461,7 @@
 }
 
 void load_spread::drop_old(time_point now) {
-    absl::erase_if(streams_, [now](const auto& entry) {
+    std::erase_if(streams_, [now](const auto& entry) {
         return now - entry.second.received >= stream_lifetime;
     });
 }
--- a/src/membership/load_spread.h
+++ b/src/membership/load_spread.h
@@ -114,11 +114,12 @@
     absl::flat_hash_map<std::string, std::vector<std::size_t>> tree_orders_;
     snapshot_ptr settings_;
     /// By hash of the server's id; servers whose hashes collide are left out.
-    absl::flat_hash_map<std::uint32_t, server_state> servers_;
+    std::map<std::uint32_t, server_state> servers_;
     std::vector<std::uint32_t> first_duties_;
     std::vector<std::uint32_t> second_duties_;
     std::uint64_t own_sequence_ = 0;
-    absl::flat_hash_map<std::uint64_t, stream> streams_;
+    /// Ordered, so that the same events give the same messages in every process.
+    std::map<std::uint64_t, stream> streams_;
 };
 
 } // namespace jujubetide
--- a/tests/membership/cluster_simulation_test.cc
+++ b/tests/membership/cluster_simulation_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <iostream>
+#include <numeric>
 
 using namespace jujubetide;
 using namespace std::chrono_literals;
@@ -80,6 +81,28 @@
     }
 }
 
+TEST_CASE("simulation: 390 nodes, 600 engines: no node takes and gives more than 28 KB/s") {
+    constexpr int window_seconds = 15;
+    constexpr double bound = 28.0 * 1024.0;
+    simulated_cluster cluster(full_size(0.0));
+    start(cluster);
+    cluster.declare_engines(600);
+    publish(cluster, 0, 1);
+    cluster.report_loads([&cluster] { return cluster.random_load(); });
+    cluster.run_for(15s);
+    cluster.reset_counters();
+    cluster.run_for(micros(window_seconds * 1'000'000LL));
+    double busiest = 0.0;
+    for (const auto& entry : cluster.processes) {
+        const std::uint64_t bytes =
+            std::accumulate(entry->bytes_in.begin(), entry->bytes_in.end(), std::uint64_t{0}) +
+            std::accumulate(entry->bytes_out.begin(), entry->bytes_out.end(), std::uint64_t{0});
+        busiest = std::max(busiest, static_cast<double>(bytes) / window_seconds);
+    }
+    std::cout << "busiest node: " << busiest << " bytes/s in and out\n";
+    CHECK(busiest <= bound);
+}
+
 TEST_CASE("simulation: two regions lose each other for an hour and heal") {
     cluster_shape shape = full_size(0.0);
     shape.nodes = 100;
--- a/tests/support/simulated_cluster.h
+++ b/tests/support/simulated_cluster.h
@@ -184,6 +184,45 @@
         entry.held.clear();
     }
 
+    /// Declares backend servers, spread over the failure domains, for the snapshots built next.
+    void declare_engines(std::size_t count) {
+        const std::size_t domains = shape.regions * shape.domains_per_region;
+        for (std::size_t i = 0; i < count; ++i) {
+            backend_server_settings server;
+            server.id = backend_server_id("engine-" + std::to_string(i));
+            server.failure_domain = failure_domain_id("domain-" + std::to_string(i % domains));
+            server.version = version_id("v1");
+            builder.servers.push_back(server);
+        }
+    }
+
+    /// From now on the watchers report once a second what `load_of` gives.
+    void report_loads(std::function<load_report()> load_of) {
+        auto last = std::make_shared<std::map<node_id, time_point>>();
+        after_tick = [this, last, load_of = std::move(load_of)](process& entry) {
+            constexpr micros period{1'000'000};
+            time_point& reported = (*last)[entry.record.node];
+            if (time.now() - reported < period) {
+                return;
+            }
+            reported = time.now();
+            for (const backend_server_id& id : entry.node.watched_servers()) {
+                entry.node.report_load(id, load_of());
+            }
+        };
+    }
+
+    /// A load that differs each time, as of an engine at full load.
+    load_report random_load() {
+        load_report load;
+        load.running = static_cast<std::uint32_t>(random.below(32));
+        load.waiting = static_cast<std::uint32_t>(random.below(16));
+        load.waiting_prompt_tokens = token_count(random.below(60'000));
+        load.max_running = 32;
+        load.version = version_id("v1");
+        return load;
+    }
+
     void reset_counters() {
         for (const auto& entry : processes) {
             entry->bytes_in.fill(0);
