--- a/src/peer/http2_connection.cc
+++ b/src/peer/http2_connection.cc
@@ -5,9 +5,9 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstring>
 #include <string_view>
 #include <sys/socket.h>
 #include <vector>
@@ -130,7 +130,7 @@
             return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
         }
         const std::size_t count = std::min(size, at->out.size() - at->sent);
-        std::memcpy(buffer, at->out.data() + at->sent, count);
+        std::copy_n(at->out.data() + at->sent, count, buffer);
         at->sent += count;
         if (at->sent == at->out.size()) {
             *flags |= NGHTTP2_DATA_FLAG_EOF;
--- a/tests/peer/peer_link_test.cc
+++ b/tests/peer/peer_link_test.cc
@@ -124,6 +124,7 @@
     }
     std::vector<std::thread> callers;
     std::atomic<int> right{0};
+    callers.reserve(4);
     for (int i = 0; i < 4; ++i) {
         callers.emplace_back([&] {
             const auto answer =
@@ -143,6 +144,7 @@
     echo(*server);
     std::vector<std::thread> callers;
     std::atomic<int> right{0};
+    callers.reserve(16);
     for (int caller = 0; caller < 16; ++caller) {
         callers.emplace_back([&, caller] {
             for (int i = 0; i < 100; ++i) {
