--- a/src/control/move_runner.cc
+++ b/src/control/move_runner.cc
@@ -100,7 +100,7 @@
 
 absl::Status move_runner::write(const stored_move& stored, const version_move& after) {
     const move_actor actor{self_.str(), "", parts_.time.wall_now()};
-    const absl::Status written = parts_.moves.write(stored.version, after, actor);
+    absl::Status written = parts_.moves.write(stored.version, after, actor);
     if (!written.ok()) {
         parts_.log.write(move_step_not_written,
                          {{"move", after.id.str()}, {"reason", std::string(written.message())}});
