--- a/tests/moves/move_evidence_codec_test.cc
+++ b/tests/moves/move_evidence_codec_test.cc
@@ -14,6 +14,7 @@
                            sequence_number(3),
                            true,
                            {}};
+    report.sent_at = time_point(micros(77));
     evidence_cell cell;
     cell.key = {route_id("main"), move_window(12), trial_arm::trial};
     cell.counts.add(true, micros(0));
