--- a/src/entry/plain_handler.cc
+++ b/src/entry/plain_handler.cc
@@ -219,7 +219,7 @@
     const time_point sent_at = parts_.time.now();
     request.time_left = to_millis(call.deadline - sent_at);
     parts_.routes.on_sent(query, choice);
-    metrics_.count_attempt(call.service.id, query.version, query.tried.size() > 0);
+    metrics_.count_attempt(call.service.id, query.version, !query.tried.empty());
     plain_result result = parts_.plain.call(server->address, request);
 
     const bool answered = result.outcome == plain_outcome::answered;
--- a/src/entry/plain_handler.h
+++ b/src/entry/plain_handler.h
@@ -27,7 +27,7 @@
     struct plain_call {
         const caller_context& caller;
         const service_settings& service;
-        const route_settings* route;
+        const route_settings* route = nullptr;
         plain_request request;
         time_point deadline{};
     };
