--- a/include/jujubetide/base/sharded_map.h
+++ b/include/jujubetide/base/sharded_map.h
@@ -36,6 +36,19 @@
         return std::forward<Function>(function)(part.values[key]);
     }
 
+    /// Calls `function(const Value&)` on the value at `key`; returns whether it is present.
+    template <class Function>
+    bool visit(const Key& key, Function&& function) const {
+        const shard& part = shard_of(key);
+        const std::lock_guard lock(part.mutex);
+        const auto found = part.values.find(key);
+        if (found == part.values.end()) {
+            return false;
+        }
+        function(found->second);
+        return true;
+    }
+
     /// Stores `value` unless the key is present; returns whether it was stored.
     bool insert(const Key& key, Value value) {
         shard& part = shard_of(key);
--- a/include/jujubetide/routing/prompt_blocks.h
+++ b/include/jujubetide/routing/prompt_blocks.h
@@ -12,7 +12,7 @@
 /// Bytes of prompt text in one prefix-cache block.
 inline constexpr std::size_t prompt_block_bytes = 256;
 /// Leading blocks of a prompt that routing looks at.
-inline constexpr std::size_t max_prompt_blocks = 64;
+inline constexpr std::size_t max_prompt_blocks = 512;
 /// Bytes of prompt text counted as one token where only the text is known.
 inline constexpr std::size_t bytes_per_token = 4;
 
--- a/include/jujubetide/routing/router.h
+++ b/include/jujubetide/routing/router.h
@@ -55,6 +55,10 @@
     void on_sent(const route_query& query, const route_choice& choice) {
         do_on_sent(query, choice);
     }
+    /// The first piece of the attempt's answer came.
+    void on_first_piece(const route_query& query, const route_choice& choice) {
+        do_on_first_piece(query, choice);
+    }
     /// The attempt ended; `cached` is what the server said it had cached, `completed` whether the
     /// answer came whole.
     void on_finished(const route_query& query, const route_choice& choice, token_count cached,
@@ -70,6 +74,7 @@
     do_choose(const route_query& query,
               std::span<const backend_server_settings* const> candidates) = 0;
     virtual void do_on_sent(const route_query& query, const route_choice& choice) = 0;
+    virtual void do_on_first_piece(const route_query& query, const route_choice& choice);
     virtual void do_on_finished(const route_query& query, const route_choice& choice,
                                 token_count cached, bool completed) = 0;
 };
--- a/include/jujubetide/settings/settings_snapshot.h
+++ b/include/jujubetide/settings/settings_snapshot.h
@@ -58,6 +58,8 @@
     micro_price price;
     /// Requests that it runs at once.
     std::size_t max_running = 32;
+    /// Prompt tokens that it processes in a second.
+    double prefill_tokens_per_second = 8'000.0;
 };
 
 struct customer_settings {
