--- a/include/jujubetide/blackboard/backend_board.h
+++ b/include/jujubetide/blackboard/backend_board.h
@@ -5,11 +5,9 @@
 #include "jujubetide/base/sharded_map.h"
 #include "jujubetide/base/units.h"
 
-#include <absl/container/flat_hash_set.h>
-
+#include <atomic>
+#include <cstddef>
 #include <cstdint>
-#include <mutex>
-#include <optional>
 
 namespace jujubetide {
 
@@ -45,10 +43,14 @@
     /// Returns whether it is new.
     bool mark_leaving(const host_id& host);
     [[nodiscard]] bool is_leaving(const host_id& host) const;
+    /// Whether the server may get new work at `now`, as far as its host and own failures go.
+    [[nodiscard]] bool is_usable(const backend_server_id& id, const host_id& host,
+                                 time_point now) const;
 
 private:
     sharded_map<backend_server_id, backend_state> states_;
     sharded_map<host_id, bool> leaving_;
+    std::atomic<std::size_t> leaving_count_{0};
 };
 
 } // namespace jujubetide
--- a/include/jujubetide/routing/prefix_router.h
+++ b/include/jujubetide/routing/prefix_router.h
@@ -20,7 +20,7 @@
     /// Servers sampled evenly.
     std::size_t even_sample = 4;
     /// Weight of a recomputed token's time in the score, besides its effect on this request.
-    double recompute_weight = 1.0;
+    double recompute_weight = 3.0;
     /// Knowledge of a cached prefix loses half of its weight in this time.
     micros cache_half_life{std::chrono::minutes(10)};
     /// Part of a prompt, beyond what is known to be cached, that its home is believed to hold.
--- a/include/jujubetide/settings/settings_snapshot.h
+++ b/include/jujubetide/settings/settings_snapshot.h
@@ -7,6 +7,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -60,6 +61,8 @@
     std::size_t max_running = 32;
     /// Prompt tokens that it processes in a second.
     double prefill_tokens_per_second = 8'000.0;
+    /// `stable_hash` of the id; set when the snapshot is made.
+    std::uint64_t id_hash = 0;
 };
 
 struct customer_settings {
--- a/src/blackboard/backend_board.cc
+++ b/src/blackboard/backend_board.cc
@@ -50,11 +50,25 @@
 }
 
 bool backend_board::mark_leaving(const host_id& host) {
-    return leaving_.insert(host, true);
+    const bool is_new = leaving_.insert(host, true);
+    if (is_new) {
+        ++leaving_count_;
+    }
+    return is_new;
 }
 
 bool backend_board::is_leaving(const host_id& host) const {
-    return leaving_.get(host).has_value();
+    return leaving_count_ > 0 && leaving_.get(host).has_value();
+}
+
+bool backend_board::is_usable(const backend_server_id& id, const host_id& host,
+                              time_point now) const {
+    if (is_leaving(host)) {
+        return false;
+    }
+    bool avoided = false;
+    states_.visit(id, [&](const backend_state& state) { avoided = state.avoid_until > now; });
+    return !avoided;
 }
 
 } // namespace jujubetide
--- a/src/routing/eligibility.cc
+++ b/src/routing/eligibility.cc
@@ -9,6 +9,9 @@
 
 template <class Predicate>
 server_list narrow_if_any_left(const server_list& servers, Predicate&& keep) {
+    if (std::all_of(servers.begin(), servers.end(), keep)) {
+        return servers;
+    }
     server_list kept;
     std::copy_if(servers.begin(), servers.end(), std::back_inserter(kept), keep);
     return kept.empty() ? servers : kept;
@@ -22,8 +25,8 @@
                  const backend_board& board) {
     server_list usable;
     for (const backend_server_settings* server : candidates) {
-        if (server->version == query.version && !board.is_leaving(server->host) &&
-            board.state(server->id).avoid_until <= query.now) {
+        if (server->version == query.version &&
+            board.is_usable(server->id, server->host, query.now)) {
             usable.push_back(server);
         }
     }
--- a/src/routing/prefix_router.cc
+++ b/src/routing/prefix_router.cc
@@ -28,7 +28,7 @@
 using server_list = std::vector<const backend_server_settings*>;
 
 server_hash hash_of(const backend_server_settings& server) {
-    return server_hash(stable_hash(server.id.str()));
+    return server_hash(server.id_hash != 0 ? server.id_hash : stable_hash(server.id.str()));
 }
 
 void add_new(server_list& list, const backend_server_settings* server) {
--- a/src/settings/settings_snapshot.cc
+++ b/src/settings/settings_snapshot.cc
@@ -1,5 +1,7 @@
 #include "jujubetide/settings/settings_snapshot.h"
 
+#include "jujubetide/base/rendezvous_hash.h"
+
 #include <algorithm>
 
 namespace jujubetide {
@@ -19,7 +21,8 @@
         customer_index_[parts_.customers[i].key_sha256] = i;
     }
     for (std::size_t i = 0; i < parts_.backend_servers.size(); ++i) {
-        const backend_server_settings& server = parts_.backend_servers[i];
+        backend_server_settings& server = parts_.backend_servers[i];
+        server.id_hash = stable_hash(server.id.str());
         backend_index_[server.id.str()] = i;
         servers_of_[server.service.str()].push_back(&server);
     }
