--- a/include/jujubetide/moves/trial_version_selector.h
+++ b/include/jujubetide/moves/trial_version_selector.h
@@ -49,6 +49,9 @@
     version_id do_select(const service_settings& service, const route_id& route,
                          const request_id& request) override;
     void do_record(const version_outcome& outcome) override;
+    [[nodiscard]] std::vector<const backend_server_settings*>
+    do_servers(const service_id& service,
+               std::span<const backend_server_settings* const> candidates) const override;
 
 private:
     /// Evidence of one move at this node.
--- a/include/jujubetide/moves/version_selector.h
+++ b/include/jujubetide/moves/version_selector.h
@@ -3,8 +3,12 @@
 #include "jujubetide/base/ids.h"
 #include "jujubetide/base/units.h"
 
+#include <span>
+#include <vector>
+
 namespace jujubetide {
 
+struct backend_server_settings;
 struct service_settings;
 
 /// How one attempt on a version went, as evidence for version moves.
@@ -32,6 +36,13 @@
         return do_select(service, route, request);
     }
     void record(const version_outcome& outcome) { do_record(outcome); }
+    /// The candidates without servers that are kept free: a version under trial gets few servers,
+    /// at full load each, so that faults under load show.
+    [[nodiscard]] std::vector<const backend_server_settings*>
+    servers(const service_id& service,
+            std::span<const backend_server_settings* const> candidates) const {
+        return do_servers(service, candidates);
+    }
 
 protected:
     version_selector() = default;
@@ -40,6 +51,10 @@
     virtual version_id do_select(const service_settings& service, const route_id& route,
                                  const request_id& request) = 0;
     virtual void do_record(const version_outcome& outcome) = 0;
+    /// Keeps all candidates unless overridden.
+    [[nodiscard]] virtual std::vector<const backend_server_settings*>
+    do_servers(const service_id& service,
+               std::span<const backend_server_settings* const> candidates) const;
 };
 
 /// Gives every request the service's settled version; used where no move is on.
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -12,16 +12,19 @@
 #include "jujubetide/edge/shutdown_signal.h"
 #include "jujubetide/edge/system_random.h"
 #include "jujubetide/edge/thread_timer_service.h"
-#include "jujubetide/limits/deadline_admission.h"
+#include "jujubetide/limits/share_admission.h"
 #include "jujubetide/membership/parsing_snapshot_builder.h"
+#include "jujubetide/moves/evidence_sender.h"
+#include "jujubetide/moves/trial_version_selector.h"
 #include "jujubetide/peer/nghttp2_peer_link.h"
 #include "jujubetide/peer/peer_node.h"
 #include "jujubetide/platform/http_table.h"
-#include "jujubetide/routing/least_loaded_router.h"
+#include "jujubetide/routing/prefix_router.h"
 #include "jujubetide/settings/process_settings.h"
 
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <thread>
@@ -39,6 +42,8 @@
 constexpr int drain_grace_divisor = 4;
 /// Time in which all nodes have heard that one leaves and no longer list it.
 constexpr millis spread_time{2'000};
+/// How often the evidence of version moves is reported.
+constexpr micros evidence_period{1'000'000};
 /// How often a node looks whether it has become ready or its host leaves.
 constexpr micros watch_period{200'000};
 
@@ -67,10 +72,28 @@
     }
 }
 
+/// The evidence of a process that starts again counts anew.
+evidence_owner owner_of(const process_settings& settings, const boot_clock& time) {
+    const auto started = time.wall_now().time_since_epoch().count();
+    return {settings.node, incarnation(static_cast<std::uint64_t>(started))};
+}
+
+/// Entry nodes that send requests, this one among them.
+std::size_t active_entries(const blackboard& boards) {
+    std::size_t count = 0;
+    for (const member& node : boards.members.all()) {
+        const bool active =
+            node.role == node_role::entry && !node.leaving && node.health != member_health::dead;
+        count += active ? 1 : 0;
+    }
+    return std::max<std::size_t>(1, count);
+}
+
 /// What the node's parts share, in the order in which they depend on each other.
 struct entry_process {
-    explicit entry_process(const process_settings& settings, peer_link& link)
-        : platform_table(settings.platform), peers(link) {}
+    entry_process(const process_settings& settings, peer_link& link)
+        : platform_table(settings.platform),
+          versions(owner_of(settings, time), {boards, time, facts}), peers(link) {}
 
     boot_clock time;
     thread_timer_service timers;
@@ -82,13 +105,14 @@
     http_table platform_table;
     http_engine_client engines;
     http_plain_client plain;
-    least_loaded_router routes{boards.backends};
-    deadline_admission limits;
+    prefix_router routes{boards.backends, time};
+    share_admission limits;
     retry_budget retries;
-    settled_version_selector versions;
     deferred_facts facts;
+    trial_version_selector versions;
     parsing_snapshot_builder builder;
     peer_link& peers;
+    evidence_sender evidence{{versions, boards, peers}};
     entry_parts parts{time,     timers,  log,   boards,         routes, limits, retries,
                       versions, engines, plain, platform_table, facts,  peers};
 };
@@ -104,6 +128,10 @@
         }
         stop_when_leaving(process.boards, settings.host);
     });
+    const auto reports = process.timers.every(evidence_period, evidence_period, [&process] {
+        process.evidence.send();
+        process.routes.set_active_entries(active_entries(process.boards));
+    });
     process.log.write(entry_listening, {{"address", server.address().str()}});
     std::cout << "listening " << server.address().str() << std::endl;
 
@@ -140,6 +168,14 @@
         return fail(node.status());
     }
     process.facts.set((*node)->publisher());
+    (*link)->set_handler(peer_message_kind::move_evidence,
+                         [&process](const peer_message& message) -> absl::StatusOr<std::string> {
+                             if (const absl::Status taken = process.evidence.receive(message);
+                                 !taken.ok()) {
+                                 return taken;
+                             }
+                             return std::string();
+                         });
     (*node)->start();
     const int code = serve_callers(settings, process, **server, **node);
     (*link)->stop();
--- a/src/entry/model_handler.cc
+++ b/src/entry/model_handler.cc
@@ -129,8 +129,8 @@
     parts_.retries.on_request(service.id, service.retry_percent);
     const route_query query = first_query(
         caller, call, service, parts_.versions.select(service, route_name, caller.request));
-    const absl::StatusOr<route_choice> choice =
-        parts_.routes.choose(query, caller.settings->servers_of(service.id));
+    const absl::StatusOr<route_choice> choice = parts_.routes.choose(
+        query, parts_.versions.servers(service.id, caller.settings->servers_of(service.id)));
     if (!choice.ok()) {
         return no_server_refusal();
     }
--- a/src/entry/running_request.cc
+++ b/src/entry/running_request.cc
@@ -223,6 +223,7 @@
     if (!attempt_had_piece_) {
         attempt_had_piece_ = true;
         first_piece_at_ = now();
+        parts_.routes.on_first_piece(query_, choice_);
     }
     if (action.offset == piece_offset(0)) {
         metrics_.observe_first_piece(given_.record.service, now() - given_.arrived);
@@ -264,8 +265,9 @@
 }
 
 absl::StatusOr<route_choice> running_request::choose(const choose_server& wish) {
-    return parts_.routes.choose(make_query(wish),
-                                given_.settings->servers_of(given_.record.service));
+    const service_id& service = given_.record.service;
+    return parts_.routes.choose(
+        make_query(wish), parts_.versions.servers(service, given_.settings->servers_of(service)));
 }
 
 route_query running_request::make_query(const choose_server& wish) const {
--- a/src/moves/trial_version_selector.cc
+++ b/src/moves/trial_version_selector.cc
@@ -150,6 +150,11 @@
     }
 }
 
+std::vector<const backend_server_settings*> trial_version_selector::do_servers(
+    const service_id& service, std::span<const backend_server_settings* const> candidates) const {
+    return trial_servers(service, candidates);
+}
+
 std::vector<const backend_server_settings*> trial_version_selector::trial_servers(
     const service_id& service, std::span<const backend_server_settings* const> candidates) const {
     std::vector<const backend_server_settings*> kept(candidates.begin(), candidates.end());
