--- a/tests/entry/at_most_once_test.cc
+++ b/tests/entry/at_most_once_test.cc
@@ -77,6 +77,7 @@
     std::mutex mutex;
     std::vector<http_answer> answers;
     constexpr int call_count = 24;
+    callers.reserve(call_count);
     for (int i = 0; i < call_count; ++i) {
         callers.emplace_back([&, i] {
             for (;;) {
--- a/tests/entry/engine_failures_test.cc
+++ b/tests/entry/engine_failures_test.cc
@@ -44,6 +44,7 @@
                  tally& results) {
     std::atomic<int> next{0};
     std::vector<std::thread> callers;
+    callers.reserve(static_cast<std::size_t>(threads));
     for (int t = 0; t < threads; ++t) {
         callers.emplace_back([&] {
             for (int i = next++; i < count; i = next++) {
