Run the controllers in jujubetide-control

The process joined its peers but started no controller. It now runs, each under its own lease or, where the step is safe, without one: the service that keeps engines in their declared states, the runner of version moves with its evidence, and the watcher of leaving hosts.

--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -1,19 +1,26 @@
 // A control process: the operators' interface and, under leases, the system's controllers.
 #include "control/control_events.h"
 #include "control/control_server.h"
+#include "control/move_runner.h"
 #include "control/own_facts.h"
 #include "control/table_poller.h"
 #include "settings/yaml_reader.h"
 
+#include "jujubetide/backend/http_engine_client.h"
 #include "jujubetide/edge/boot_clock.h"
+#include "jujubetide/edge/periodic_task.h"
 #include "jujubetide/edge/process_log.h"
 #include "jujubetide/edge/shutdown_signal.h"
 #include "jujubetide/edge/system_random.h"
 #include "jujubetide/edge/thread_timer_service.h"
+#include "jujubetide/lease/order_service.h"
 #include "jujubetide/membership/parsing_snapshot_builder.h"
 #include "jujubetide/peer/nghttp2_peer_link.h"
 #include "jujubetide/peer/peer_node.h"
+#include "jujubetide/platform/http_cloud.h"
+#include "jujubetide/platform/http_host_list.h"
 #include "jujubetide/platform/http_table.h"
+#include "jujubetide/platform/leaving_watcher.h"
 #include "jujubetide/settings/process_settings.h"
 
 #include <tclap/CmdLine.h>
@@ -27,6 +34,8 @@
 constexpr int exit_other = 1;
 constexpr int exit_bad_settings = 2;
 constexpr std::size_t max_change_bytes = 8U << 20U;
+/// How often version moves are stepped.
+constexpr micros move_period{1'000'000};
 
 /// What the process's parts share, in the order in which they depend on each other.
 struct control_process {
@@ -59,6 +68,44 @@
     return options;
 }
 
+/// A holder's name is new at each start, so that a restarted process waits out its own old lease.
+lease_options options_of(const char* lease, const node_id& node) {
+    lease_options options;
+    options.lease = lease_id(lease);
+    options.holder = node.str() + "/" + random_hex_id();
+    return options;
+}
+
+/// The controllers that every control process runs; they act only under their leases, but for the
+/// watcher of leaving hosts, whose facts make nodes more careful and so need none.
+struct controllers {
+    controllers(const process_settings& settings, control_process& process, peer_link& link)
+        : platform_cloud(settings.platform), hosts(settings.platform),
+          watcher(platform_cloud, hosts, process.facts, process.timers, process.log),
+          orders(
+              process.platform_table, engines,
+              [&boards = process.boards] {
+                  const snapshot_ptr current = boards.settings.current();
+                  return current == nullptr ? std::vector<desired_engine_state>()
+                                            : declared_engine_states(*current);
+              },
+              process.time, process.timers, process.log, options_of("orders", settings.node)),
+          moves_lease(process.platform_table, process.time, process.log,
+                      options_of("moves", settings.node)),
+          moves(settings.node, {process.boards, process.moves, process.facts, link, moves_lease,
+                                process.time, process.log}),
+          move_task(process.timers, move_period, [this] { moves.step(); }) {}
+
+    http_cloud platform_cloud;
+    http_host_list hosts;
+    leaving_watcher watcher;
+    http_engine_client engines;
+    order_service orders;
+    lease_keeper moves_lease;
+    move_runner moves;
+    periodic_task move_task;
+};
+
 void serve_operators(const process_settings& settings, control_process& process,
                      control_server& server) {
     const table_poller poller(process.parts, process.random, settings.settings_poll);
@@ -94,6 +141,12 @@
         return fail(node.status());
     }
     process.facts.spread_by((*node)->publisher());
+    controllers running(settings, process, **link);
+    (*link)->set_handler(peer_message_kind::move_evidence,
+                         [&running](const peer_message& message) -> absl::StatusOr<std::string> {
+                             const absl::Status taken = running.moves.receive(message);
+                             return taken.ok() ? absl::StatusOr<std::string>(std::string()) : taken;
+                         });
     (*node)->start();
     serve_operators(settings, process, **server);
     (*link)->stop();
