Test no windows of a move before a node's first outcome of it

Cause: the selector tested every window from the move's start to now, under the lock of the service, when a node recorded its first outcome. Ruled out: a bound on the windows alone, since the empty ones tell nothing anyway. Change: testing begins at the window of the first outcome.

--- a/include/jujubetide/moves/trial_version_selector.h
+++ b/include/jujubetide/moves/trial_version_selector.h
@@ -64,7 +64,8 @@
         double credit = 0.0;
         move_evidence evidence;
         std::shared_ptr<move_tests> tests;
-        move_window next_to_test;
+        /// The first window that is not tested yet; unset before the first outcome.
+        std::optional<move_window> next_to_test;
     };
 
     bool within_share(const service_settings& service, const version_move& move,
--- a/tests/moves/trial_version_selector_test.cc
+++ b/tests/moves/trial_version_selector_test.cc
@@ -57,6 +57,21 @@
 
 } // namespace
 
+TEST_CASE("a node that joins a move long after its start does not test the windows before") {
+    selector_fixture run;
+    version_move old = run.move;
+    old.id = move_id("m2");
+    old.start = run.move.start + millis(1);
+    old.due = old.start + millis(60'000);
+    run.board.moves.merge(old);
+    constexpr std::chrono::hours days_later{24 * 5'000};
+    run.time.advance(days_later);
+    run.record(run.move.from, false);
+    run.time.advance(std::chrono::seconds(60));
+    run.record(run.move.from, false);
+    CHECK(run.publisher.moves.empty());
+}
+
 TEST_CASE("the version under trial gets its share, the same requests each time") {
     selector_fixture fixture;
     int trial = 0;
