Mend what the linter found in a membership test and the fuzz target

The analyzer took the value behind a captured reference for a dead store; the test now changes a field of an object. tools/test: 240 passed, 0 failed.

--- a/tests/fuzz/settings_fuzz.cc
+++ b/tests/fuzz/settings_fuzz.cc
@@ -29,6 +29,8 @@
 
 } // namespace
 
+// The fuzzer's library prescribes the name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
     const std::string text(reinterpret_cast<const char*>(data), size);
     check_document("/teams/frio/services/diagnosis", text);
--- a/tests/membership/load_spread_test.cc
+++ b/tests/membership/load_spread_test.cc
@@ -13,11 +13,16 @@
     cluster.processes[0]->node.settings(cluster.builder.build({{"/a", "b"}}, revision(1), found));
 }
 
-/// Lets the watchers report once a second the load that `running` gives.
-void report_loads(simulated_cluster& cluster, const std::uint32_t& running) {
-    cluster.report_loads([&running] {
+/// What all engines show when they are asked.
+struct shown_load {
+    std::uint32_t running = 3;
+};
+
+/// Lets the watchers report once a second the load that `shown` gives.
+void report_loads(simulated_cluster& cluster, const shown_load& shown) {
+    cluster.report_loads([&shown] {
         load_report load;
-        load.running = running;
+        load.running = shown.running;
         load.max_running = 32;
         load.version = version_id("v1");
         return load;
@@ -49,9 +54,9 @@
     simulated_cluster cluster(lossy(16));
     cluster.start_all();
     REQUIRE(cluster.run_until([&] { return cluster.converged(); }, 30s) >= 0us);
-    std::uint32_t running = 3;
+    shown_load shown;
     declare_servers(cluster, 24);
-    report_loads(cluster, running);
+    report_loads(cluster, shown);
     REQUIRE(cluster.run_until([&] { return all_know(cluster, 3); }, 20s) >= 0us);
     // Second watchers stop once they have heard the first ones.
     cluster.run_for(20s);
@@ -64,7 +69,7 @@
     CHECK(watchers.size() == 24);
     CHECK(std::all_of(watchers.begin(), watchers.end(),
                       [](const auto& entry) { return entry.second == 1; }));
-    running = 9;
+    shown.running = 9;
     CHECK(cluster.run_until([&] { return all_know(cluster, 9); }, 20s) >= 0us);
 }
 
@@ -72,9 +77,9 @@
     simulated_cluster cluster(lossy(16));
     cluster.start_all();
     REQUIRE(cluster.run_until([&] { return cluster.converged(); }, 30s) >= 0us);
-    std::uint32_t running = 3;
+    shown_load shown;
     declare_servers(cluster, 24);
-    report_loads(cluster, running);
+    report_loads(cluster, shown);
     REQUIRE(cluster.run_until([&] { return all_know(cluster, 3); }, 20s) >= 0us);
     // The watcher is alive but cannot reach the server, so its death will not change duties.
     const backend_server_id lost("engine-0");
@@ -91,14 +96,14 @@
             full_report(entry);
         }
     };
-    running = 5;
+    shown.running = 5;
     const auto known = [&] {
         return cluster.all_running([&](const simulated_cluster::process& entry) {
             return entry.board.backends.state(lost).load.running == 5;
         });
     };
     CHECK(cluster.run_until(known, 30s) >= 0us);
-    running = 7;
+    shown.running = 7;
     cluster.run_for(15s);
     CHECK(cluster.all_running([&](const simulated_cluster::process& entry) {
         return entry.board.backends.state(lost).load.running == 7;
