Pace injected faults by answers, and restart entries on ports that nothing else takes

Cause, both seen under the address sanitizer at 23:06: (1) 'a thousand streams' injected a fault each millisecond; on a slow machine that is more than one for ten answers, the retry budget ran out and 2 of 1,000 were told 'unknown', as they should be. (2) An entry was restarted on a port from the range of outgoing connections, which another test's connection had taken meanwhile. Ruled out: lost or wrong pieces (wrong was 0), and a crash of the entry (no sanitizer report). Change: one fault for each 12 answers, and the test now also checks that at least 1,000 / 12 were injected; ports below the range.

--- a/tests/entry/engine_failures_test.cc
+++ b/tests/entry/engine_failures_test.cc
@@ -13,6 +13,8 @@
 
 constexpr std::uint32_t pieces = 12;
 constexpr std::uint64_t fault_seed = 7;
+/// More than the ten that the retry budget of a tenth lets each retry have.
+constexpr int answers_for_each_fault = 12;
 
 struct tally {
     std::atomic<int> whole{0};
@@ -20,6 +22,7 @@
     std::atomic<int> refused_not_run{0};
     std::atomic<int> failed{0};
 
+    [[nodiscard]] int ended() const { return whole + wrong + refused_not_run + failed; }
     /// Counts the answers that are not whole by what callers saw.
     void note(const caller_answer& answer) {
         const std::lock_guard lock(mutex_);
@@ -99,7 +102,8 @@
     entry_fixture system(4);
     tally results;
     std::atomic<bool> done{false};
-    std::thread faults([&system, &done] {
+    int injected = 0;
+    std::thread faults([&system, &done, &results, &injected] {
         // Faults that meet answers which have begun; each meets one call.
         const std::vector<engine_fault> kinds{
             engine_fault::end_early,  engine_fault::repeat_piece,  engine_fault::cross_pieces,
@@ -107,10 +111,16 @@
             engine_fault::tear_piece};
         seeded_random random(fault_seed);
         while (!done) {
+            // Paced by the answers, so that the retries that the faults cost stay within the
+            // budget at any speed of the machine.
+            if (results.ended() < injected * answers_for_each_fault) {
+                std::this_thread::sleep_for(millis{1});
+                continue;
+            }
             const auto kind = kinds[random.below(kinds.size())];
             system.engines[random.below(system.engines.size())]->set_fault(
                 kind, {1, 1 + random.below(pieces - 2), millis{10}});
-            std::this_thread::sleep_for(millis{1});
+            ++injected;
         }
     });
     run_streams(system, 1'000, 32, pieces, results);
@@ -118,6 +128,7 @@
     faults.join();
     std::cout << "faults: seed " << fault_seed << "\n";
     INFO(results.text());
+    CHECK(injected >= 1'000 / answers_for_each_fault);
     CHECK(results.wrong == 0);
     CHECK(results.whole == 1'000);
 }
--- a/tests/system/system_fixture.cc
+++ b/tests/system/system_fixture.cc
@@ -13,6 +13,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <unistd.h>
 
 namespace jujubetide {
 namespace {
@@ -22,10 +23,20 @@
 }
 
 /// A port that was free a moment ago.
+/// An address that a process can be started on again later: its port lies below those that the
+/// system gives to outgoing connections, so that none of them takes it in between.
 endpoint free_address() {
-    const auto server = http_server::make({}, [](httplib::Server&) {});
-    REQUIRE(server.ok());
-    return (*server)->address();
+    constexpr unsigned first_port = 20'000;
+    constexpr unsigned ports = 12'000;
+    constexpr unsigned ports_of_process = 16;
+    static unsigned next = static_cast<unsigned>(::getpid()) * ports_of_process;
+    while (true) {
+        http_server_options options;
+        options.listen.port = static_cast<std::uint16_t>(first_port + next++ % ports);
+        if (http_server::make(options, [](httplib::Server&) {}).ok()) {
+            return options.listen;
+        }
+    }
 }
 
 std::string backend_document(const std::string& service, std::size_t index,
