--- a/src/settings/document_readers.cc
+++ b/src/settings/document_readers.cc
@@ -18,6 +18,9 @@
 constexpr std::int64_t most_body_bytes = 64LL << 20;
 constexpr std::int64_t most_priority = 100;
 constexpr std::int64_t most_running = 4096;
+/// Prompt tokens a second.
+constexpr double least_prefill_rate = 1.0;
+constexpr double most_prefill_rate = 1e7;
 constexpr std::int64_t most_price = 1'000'000'000'000;
 constexpr double most_retry_percent = 100.0;
 constexpr double least_share = 0.001;
@@ -134,6 +137,8 @@
     reader.integer("price_micro", price, 0, most_price, presence::optional);
     server.price = micro_price(static_cast<std::uint64_t>(price));
     reader.whole("max_running", server.max_running, 1, most_running);
+    reader.real("prefill_tokens_per_second", server.prefill_tokens_per_second, least_prefill_rate,
+                most_prefill_rate);
     reader.end();
     return server;
 }
--- a/tests/settings/settings_parser_test.cc
+++ b/tests/settings/settings_parser_test.cc
@@ -18,7 +18,7 @@
          "  - {id: read, method: GET, idempotent: true, priority: 3}\n"},
         {"/teams/frio/backends/engine-1",
          "service: diagnosis\nversion: v1\naddress: 10.0.0.1:8000\nhost: h1\n"
-         "failure_domain: ar-centro-a\nprice_micro: 250000\n"},
+         "failure_domain: ar-centro-a\nprice_micro: 250000\nprefill_tokens_per_second: 12000\n"},
         {"/teams/frio/customers/kitchen",
          "key_sha256: " + hash_a + "\nshare: 2.5\nservices: [diagnosis, dispatch]\n"},
         {"/operators/ana", "key_sha256: " + hash_b + "\nsubtrees: [/teams/frio/]\n"},
@@ -58,6 +58,7 @@
     REQUIRE(servers.size() == 1);
     CHECK(servers[0]->address == endpoint{"10.0.0.1", 8000});
     CHECK(servers[0]->price == micro_price{250'000});
+    CHECK(servers[0]->prefill_tokens_per_second == 12'000.0);
     REQUIRE(snapshot->find_customer(hash_a) != nullptr);
     CHECK(snapshot->find_customer(hash_a)->share == 2.5);
 }
