Let callers name any route of a model service

Cause: the entry looked the whole 'model' up as a service and then chose the route whose id equals it, so routes other than the first could not be reached ('model: notes' answered 404). Ruled out: looking routes up by their id alone, since ids are unique only within a service.

--- a/include/jujubetide/settings/settings_snapshot.h
+++ b/include/jujubetide/settings/settings_snapshot.h
@@ -17,7 +17,7 @@
 enum class service_kind { model, plain };
 
 /// A class of calls of a service. A plain service's route is chosen by method and path prefix, the
-/// longest first; a model service has one route for each `model` name that callers send.
+/// longest first; a model service's by the `model` that callers send, `[TEAM/]SERVICE[/ROUTE]`.
 struct route_settings {
     route_id id;
     /// For plain services: "" stands for every method.
--- a/src/entry/model_call.cc
+++ b/src/entry/model_call.cc
@@ -1,8 +1,12 @@
 #include "entry/model_call.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <vector>
+
 namespace jujubetide {
 namespace {
 
@@ -84,16 +88,29 @@
     return call;
 }
 
-const service_settings* find_model_service(const settings_snapshot& settings,
-                                           const std::string& model) {
-    const std::size_t slash = model.find('/');
-    const bool has_team = slash != std::string::npos;
-    const service_id id(has_team ? model.substr(slash + 1) : model);
-    const service_settings* service = settings.find_service(id);
-    if (service == nullptr || service->kind != service_kind::model) {
-        return nullptr;
+std::optional<model_target> find_model_target(const settings_snapshot& settings,
+                                              const std::string& model) {
+    std::vector<std::string> names = absl::StrSplit(model, '/');
+    if (names.size() > 1) {
+        const service_settings* second = settings.find_service(service_id(names[1]));
+        if (second != nullptr && second->team.str() == names[0]) {
+            names.erase(names.begin());
+        }
+    }
+    const service_settings* service = settings.find_service(service_id(names[0]));
+    if (service == nullptr || service->kind != service_kind::model || names.size() > 2) {
+        return std::nullopt;
+    }
+    if (names.size() == 1) {
+        return model_target{service, service->routes.empty() ? nullptr : &service->routes.front()};
+    }
+    const auto route =
+        std::find_if(service->routes.begin(), service->routes.end(),
+                     [&names](const route_settings& one) { return one.id.str() == names[1]; });
+    if (route == service->routes.end()) {
+        return std::nullopt;
     }
-    return has_team && service->team.str() != model.substr(0, slash) ? nullptr : service;
+    return model_target{service, &*route};
 }
 
 } // namespace jujubetide
--- a/src/entry/model_call.h
+++ b/src/entry/model_call.h
@@ -6,6 +6,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace jujubetide {
@@ -31,8 +32,16 @@
 /// Reads an OpenAI-style body. InvalidArgument names the field.
 absl::StatusOr<model_call> parse_model_call(completion_kind kind, const std::string& body);
 
-/// The service that `model` names, or null.
-const service_settings* find_model_service(const settings_snapshot& settings,
-                                           const std::string& model);
+/// What the `model` of a call names.
+struct model_target {
+    const service_settings* service = nullptr;
+    /// Null where the service declares no route.
+    const route_settings* route = nullptr;
+};
+
+/// Resolves `[TEAM/]SERVICE[/ROUTE]`; without a route the service's first one is taken. Nothing
+/// where it names no model service, or a route that the service does not have.
+std::optional<model_target> find_model_target(const settings_snapshot& settings,
+                                              const std::string& model);
 
 } // namespace jujubetide
--- a/src/entry/model_handler.cc
+++ b/src/entry/model_handler.cc
@@ -21,15 +21,6 @@
 /// status. After it, a refusal is an event of the stream.
 constexpr millis status_wait{2'000};
 
-const route_settings* route_of(const service_settings& service, const std::string& model) {
-    for (const route_settings& route : service.routes) {
-        if (route.id.str() == model) {
-            return &route;
-        }
-    }
-    return service.routes.empty() ? nullptr : &service.routes.front();
-}
-
 route_query first_query(const caller_context& caller, const model_call& call,
                         const service_settings& service, version_id version) {
     route_query query;
@@ -104,27 +95,29 @@
     if (!call.ok()) {
         return make_problem(400, "bad_request", std::string(call.status().message()));
     }
-    const service_settings* service = find_model_service(*caller.settings, call->model);
-    if (service == nullptr) {
-        return make_problem(404, "unknown_service", "model names no model service");
+    const std::optional<model_target> target = find_model_target(*caller.settings, call->model);
+    if (!target) {
+        return make_problem(404, "unknown_service", "model names no route of a model service");
     }
-    if (auto error = check_permission(caller, *service)) {
+    const service_settings& service = *target->service;
+    if (auto error = check_permission(caller, service)) {
         return *std::move(error);
     }
-    if (body.size() > service->max_body_bytes) {
+    if (body.size() > service.max_body_bytes) {
         return make_problem(413, "body_too_large", "the body is larger than the service takes");
     }
-    auto result = admit_call(caller, *call, *service);
+    auto result = admit_call(caller, *call, *target);
     if (std::holds_alternative<problem>(result)) {
-        metrics_.count_request(service->id, "not_run");
+        metrics_.count_request(service.id, "not_run");
     }
     return result;
 }
 
 std::variant<model_handler::admitted_request, problem>
 model_handler::admit_call(const caller_context& caller, const model_call& call,
-                          const service_settings& service) {
-    const route_settings* route = route_of(service, call.model);
+                          const model_target& target) {
+    const service_settings& service = *target.service;
+    const route_settings* route = target.route;
     const route_id route_name = route == nullptr ? route_id() : route->id;
     parts_.retries.on_request(service.id, service.retry_percent);
     const route_query query = first_query(
--- a/src/entry/model_handler.h
+++ b/src/entry/model_handler.h
@@ -42,9 +42,8 @@
     /// Checks, routes and admits; the problem is the refusal.
     std::variant<admitted_request, problem> admit(const caller_context& caller,
                                                   completion_kind kind, const std::string& body);
-    std::variant<admitted_request, problem> admit_call(const caller_context& caller,
-                                                       const model_call& call,
-                                                       const service_settings& service);
+    std::variant<admitted_request, problem>
+    admit_call(const caller_context& caller, const model_call& call, const model_target& target);
     void answer(const admitted_request& admitted, piece_offset from, httplib::Response& response);
     void answer_stream(const std::shared_ptr<running_request>& running, piece_offset from,
                        httplib::Response& response);
