--- a/src/settings/settings_history.cc
+++ b/src/settings/settings_history.cc
@@ -5,6 +5,8 @@
 
 #include "settings/settings_rows.h"
 
+#include "jujubetide/settings/settings_store.h"
+
 #include <algorithm>
 #include <iterator>
 
@@ -21,21 +23,6 @@
     return record;
 }
 
-absl::StatusOr<revision> newest_revision(table& platform_table) {
-    const auto row = platform_table.get(settings_head_key);
-    if (!row.ok()) {
-        return row.status();
-    }
-    if (!*row) {
-        return revision{};
-    }
-    const absl::StatusOr<head_record> head = decode_head((*row)->value);
-    if (!head.ok()) {
-        return head.status();
-    }
-    return head->at;
-}
-
 /// The records of revisions [first, end), the newest first.
 absl::StatusOr<std::vector<audit_record>> read_window(table& platform_table, revision first,
                                                       revision end) {
@@ -77,7 +64,7 @@
 } // namespace
 
 absl::StatusOr<history_page> settings_history::read(const history_query& query) {
-    const absl::StatusOr<revision> newest = newest_revision(table_);
+    const absl::StatusOr<revision> newest = settings_store(table_).newest();
     if (!newest.ok()) {
         return newest.status();
     }
