--- a/tests/system/planned_stop_test.cc
+++ b/tests/system/planned_stop_test.cc
@@ -128,8 +128,8 @@
                 }
                 return true;
             };
-            const caller_answer answer = standin_caller(entry, system_fixture::key)
-                                             .stream("chat", prompt, pieces, on_piece);
+            const caller_answer answer =
+                standin_caller(entry, system_fixture::key).stream("chat", prompt, pieces, on_piece);
             moves += answer.moves;
             if (answer.outcome == "not_run") {
                 ++refused;
