Admit a request only when its whole answer can end in time

Cause: admission compared the estimated first piece with the deadline of the whole answer. With all engines at half speed at 90 % of their full load it admitted what could begin but not end in time; those requests held places until their deadlines and were lost.

Ruled out: retries. The engines saw 221 attempts for 301 calls offered in that phase, so retries added no load.

Change: answer_time learns the interval between pieces, also from attempts that do not end whole, and the pieces of an answer. Admission takes the expected time of the answer off the deadline.

--- a/src/entry/model_handler.cc
+++ b/src/entry/model_handler.cc
@@ -36,7 +36,8 @@
 }
 
 admission_query make_admission_query(const caller_context& caller, const service_settings& service,
-                                     const route_query& query, const route_choice& choice) {
+                                     const route_query& query, const route_choice& choice,
+                                     micros answer_time_left) {
     admission_query admission;
     admission.request = caller.request;
     admission.service = service.id;
@@ -46,7 +47,8 @@
     admission.estimated_first_piece = choice.estimated_first_piece;
     admission.first_piece_target = service.first_piece_target;
     admission.now = query.now;
-    admission.deadline = query.deadline;
+    // An answer that begins too late to end in time is work for nothing.
+    admission.deadline = query.deadline - answer_time_left;
     return admission;
 }
 
@@ -127,7 +129,8 @@
     if (!choice.ok()) {
         return no_server_refusal();
     }
-    const admission_query admission = make_admission_query(caller, service, query, *choice);
+    const admission_query admission = make_admission_query(
+        caller, service, query, *choice, answer_times_.expected(service.id, call.max_pieces));
     const admission_decision decision = parts_.limits.decide(admission);
     if (!decision.admitted()) {
         return refusal_of(decision);
@@ -138,7 +141,8 @@
                                      query.deadline,
                                      *choice,
                                      admission};
-    auto running = std::make_shared<running_request>(parts_, self_, metrics_, std::move(options));
+    auto running = std::make_shared<running_request>(parts_, self_, metrics_, answer_times_,
+                                                     std::move(options));
     requests_.start(running);
     return admitted_request{std::move(running), call.stream};
 }
@@ -253,8 +257,8 @@
     parts_.log.write(request_taken_over, {{"request", record->request.str()}});
     running_request::options options{*std::move(record), settings,     now,
                                      deadline,           std::nullopt, std::nullopt};
-    (void)requests_.start(
-        std::make_shared<running_request>(parts_, self_, metrics_, std::move(options)));
+    (void)requests_.start(std::make_shared<running_request>(parts_, self_, metrics_, answer_times_,
+                                                            std::move(options)));
     return std::string("taken");
 }
 
--- a/src/entry/model_handler.h
+++ b/src/entry/model_handler.h
@@ -6,6 +6,8 @@
 #include "entry/model_call.h"
 #include "entry/running_requests.h"
 
+#include "jujubetide/limits/answer_time.h"
+
 #include <absl/status/statusor.h>
 
 #include <atomic>
@@ -53,6 +55,7 @@
     entry_parts& parts_;
     const entry_identity& self_;
     entry_metrics& metrics_;
+    answer_time answer_times_;
     running_requests requests_;
     std::atomic<int> open_streams_{0};
 };
--- a/src/entry/running_request.cc
+++ b/src/entry/running_request.cc
@@ -57,9 +57,9 @@
 };
 
 running_request::running_request(entry_parts& parts, const entry_identity& self,
-                                 entry_metrics& metrics, options given)
-    : parts_(parts), self_(self), metrics_(metrics), given_(std::move(given)),
-      budget_(parts.retries, given_.record.service),
+                                 entry_metrics& metrics, answer_time& answer_times, options given)
+    : parts_(parts), self_(self), metrics_(metrics), answer_times_(answer_times),
+      given_(std::move(given)), budget_(parts.retries, given_.record.service),
       machine_(make_start(given_), request_timeouts{}, budget_), log_(given_.record.pieces),
       last_read_(given_.arrived) {}
 
@@ -189,7 +189,7 @@
     metrics_.count_attempt(given_.record.service, given_.record.version,
                            machine_.attempts().tried().size() > 1);
     attempt_started_ = now();
-    attempt_had_piece_ = false;
+    attempt_pieces_ = 0;
     last_result_ = {};
     receiver pieces(*this);
     last_result_ = parts_.engines.run(server->address, request, pieces);
@@ -200,10 +200,12 @@
     const bool completed = action.end == attempt_end::completed;
     const backend_server_settings* server = server_of(choice_);
     parts_.routes.on_finished(query_, choice_, last_result_.cached_tokens, completed);
+    answer_times_.on_attempt(given_.record.service, attempt_pieces_,
+                             last_piece_at_ - first_piece_at_);
     if (completed) {
         parts_.boards.backends.on_success(choice_.server);
     } else if (is_server_fault(action.end) || action.end == attempt_end::not_run) {
-        if (!attempt_had_piece_) {
+        if (attempt_pieces_ == 0) {
             // A server that gave a part of the answer still works; its version's evidence counts.
             record_failure(parts_.boards.backends, choice_.server, now());
         }
@@ -213,16 +215,16 @@
                                           {"error", last_result_.error}});
     }
     if (completed || is_server_fault(action.end)) {
-        const time_point first = attempt_had_piece_ ? first_piece_at_ : now();
+        const time_point first = attempt_pieces_ > 0 ? first_piece_at_ : now();
         parts_.versions.record({given_.record.service, given_.record.route, given_.record.version,
                                 choice_.server, !completed, first - attempt_started_, now()});
     }
 }
 
 void running_request::apply(const deliver_piece& action) {
-    if (!attempt_had_piece_) {
-        attempt_had_piece_ = true;
-        first_piece_at_ = now();
+    last_piece_at_ = now();
+    if (attempt_pieces_++ == 0) {
+        first_piece_at_ = last_piece_at_;
         parts_.routes.on_first_piece(query_, choice_);
     }
     if (action.offset == piece_offset(0)) {
@@ -233,6 +235,7 @@
 
 void running_request::apply(const finish_answer& action) {
     metrics_.observe_total(given_.record.service, now() - given_.arrived);
+    answer_times_.on_whole(given_.record.service, action.total.value());
     finish(
         answer_whole{action.finish_reason, last_result_.prompt_tokens, last_result_.cached_tokens},
         "whole");
--- a/src/entry/running_request.h
+++ b/src/entry/running_request.h
@@ -5,6 +5,7 @@
 #include "entry/entry_parts.h"
 #include "entry/hand_over.h"
 
+#include "jujubetide/limits/answer_time.h"
 #include "jujubetide/request/request_machine.h"
 #include "jujubetide/settings/settings_snapshot.h"
 
@@ -33,7 +34,7 @@
 
     /// `settings` must hold the record's service. All references outlive the request.
     running_request(entry_parts& parts, const entry_identity& self, entry_metrics& metrics,
-                    options given);
+                    answer_time& answer_times, options given);
     /// Ends the request as if its caller had gone, and waits for its thread.
     ~running_request();
     running_request(const running_request&) = delete;
@@ -100,6 +101,7 @@
     entry_parts& parts_;
     const entry_identity& self_;
     entry_metrics& metrics_;
+    answer_time& answer_times_;
     options given_;
     budget budget_;
     request_machine machine_;
@@ -110,7 +112,8 @@
     engine_result last_result_;
     time_point attempt_started_{};
     time_point first_piece_at_{};
-    bool attempt_had_piece_ = false;
+    time_point last_piece_at_{};
+    std::uint32_t attempt_pieces_ = 0;
     endpoint moved_to_;
     std::atomic<time_point> last_read_;
     std::atomic<bool> caller_gone_{false};
