--- a/tests/standins/engine_standin_main.cc
+++ b/tests/standins/engine_standin_main.cc
@@ -29,6 +29,8 @@
                                       "N", command);
     TCLAP::SwitchArg ignores("", "ignores-fencing", "Take orders with old fencing numbers",
                              command);
+    TCLAP::SwitchArg logs("", "log-executions",
+                          "Write `executed PROMPT` to the error output for each attempt", command);
     command.parse(argc, argv);
 
     standin_engine_options options;
@@ -39,6 +41,7 @@
     options.knobs.between_pieces = millis{between.getValue()};
     options.max_running = running.getValue();
     options.checks_fencing = !ignores.getValue();
+    options.log_executions = logs.getValue();
     return options;
 }
 
--- a/tests/standins/standin_engine.cc
+++ b/tests/standins/standin_engine.cc
@@ -228,6 +228,9 @@
     response.set_chunked_content_provider(
         "text/event-stream",
         [this, request, knobs, tokens, total, stops](std::size_t, httplib::DataSink& sink) {
+            if (options_.log_executions) {
+                log_execution(request.prompt);
+            }
             if (!scheduler_.begin(request, tokens)) {
                 return false;
             }
--- a/tests/standins/standin_engine.h
+++ b/tests/standins/standin_engine.h
@@ -50,6 +50,8 @@
     std::size_t cache_blocks = 4'096;
     /// Threads that answer; each running or waiting attempt holds one.
     std::size_t threads = 128;
+    /// Writes a line to the error output for each attempt, which outlives a kill.
+    bool log_executions = false;
     standin_engine_knobs knobs;
 };
 
--- a/tests/standins/standin_http.cc
+++ b/tests/standins/standin_http.cc
@@ -5,6 +5,8 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <iostream>
+
 namespace jujubetide {
 
 nlohmann::json json_body(const httplib::Request& request) {
@@ -24,6 +26,10 @@
         1, "application/json", [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
 }
 
+void log_execution(const std::string& name) {
+    std::cerr << "executed " + name + "\n";
+}
+
 void answer_problem(httplib::Response& response, int status, const std::string& code,
                     bool not_run) {
     problem error;
--- a/tests/standins/standin_plain_service.cc
+++ b/tests/standins/standin_plain_service.cc
@@ -132,6 +132,10 @@
     const auto booking = body.find("booking");
     const std::string booked =
         booking != body.end() && booking->is_string() ? booking->get<std::string>() : "";
+    if (options_.log_executions) {
+        log_execution(booked);
+        log_execution(id);
+    }
     {
         const std::lock_guard lock(mutex_);
         ++executions_;
--- a/tests/standins/standin_plain_service.h
+++ b/tests/standins/standin_plain_service.h
@@ -33,6 +33,9 @@
     endpoint listen{"127.0.0.1", 0};
     std::string name = "plain";
     std::size_t threads = 64;
+    /// Writes the booking and the request id to the error output for each execution, which outlives
+    /// a kill.
+    bool log_executions = false;
 };
 
 /// A plain service over HTTP. Takes any method and path; counts executions by the header
--- a/tests/system/system_fixture.cc
+++ b/tests/system/system_fixture.cc
@@ -22,7 +22,6 @@
     return parse_endpoint(process.listening()).value_or(endpoint{});
 }
 
-/// A port that was free a moment ago.
 /// An address that a process can be started on again later: its port lies below those that the
 /// system gives to outgoing connections, so that none of them takes it in between.
 endpoint free_address() {
@@ -52,13 +51,15 @@
         (std::filesystem::temp_directory_path() / "jujubetide-system-XXXXXX").string();
     folder_ = ::mkdtemp(pattern.data());
     platform = std::make_unique<child_process>("platform-standin", std::vector<std::string>{});
-    for (int i = 0; i < engine_count; ++i) {
-        engines.push_back(
-            std::make_unique<child_process>("engine-standin", std::vector<std::string>{}));
+    engines.resize(static_cast<std::size_t>(engine_count));
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        engine_addresses_.push_back(free_address());
+        start_engine(i);
     }
-    for (int i = 0; i < 2; ++i) {
-        plain.push_back(
-            std::make_unique<child_process>("plain-standin", std::vector<std::string>{}));
+    plain.resize(2);
+    for (std::size_t i = 0; i < plain.size(); ++i) {
+        plain_addresses_.push_back(free_address());
+        start_plain(i);
     }
     write_settings();
     for (int i = 0; i < entry_count; ++i) {
@@ -79,6 +80,36 @@
     std::filesystem::remove_all(folder_, ignored);
 }
 
+void system_fixture::start_engine(std::size_t index) {
+    engines[index].reset();
+    engines[index] = std::make_unique<child_process>(
+        "engine-standin",
+        std::vector<std::string>{"--listen", engine_addresses_[index].str(), "--log-executions"},
+        execution_log());
+    REQUIRE_FALSE(engines[index]->listening().empty());
+}
+
+void system_fixture::start_plain(std::size_t index) {
+    plain[index].reset();
+    plain[index] = std::make_unique<child_process>(
+        "plain-standin",
+        std::vector<std::string>{"--listen", plain_addresses_[index].str(), "--log-executions"},
+        execution_log());
+    REQUIRE_FALSE(plain[index]->listening().empty());
+}
+
+std::map<std::string, int> system_fixture::executions() const {
+    const std::string mark = "executed ";
+    std::map<std::string, int> counts;
+    std::ifstream log(execution_log());
+    for (std::string line; std::getline(log, line);) {
+        if (line.starts_with(mark)) {
+            ++counts[line.substr(mark.size())];
+        }
+    }
+    return counts;
+}
+
 void system_fixture::start_entry(std::size_t index) {
     entries[index].reset();
     const std::string file = absl::StrCat(folder_, "/entry-", index, ".yaml");
--- a/tests/system/system_fixture.h
+++ b/tests/system/system_fixture.h
@@ -27,6 +27,13 @@
 
     /// Starts entry number `index`, on a port of its own; the former process is ended.
     void start_entry(std::size_t index);
+    /// Starts the engine or plain service number `index` at its address; the former process is
+    /// ended.
+    void start_engine(std::size_t index);
+    void start_plain(std::size_t index);
+    /// What engines and plain services have executed, killed ones included, by prompt for
+    /// engines, by booking and by request id for plain services.
+    [[nodiscard]] std::map<std::string, int> executions() const;
     [[nodiscard]] bool wait_ready(std::size_t index) const;
     [[nodiscard]] endpoint entry(std::size_t index) const;
     standin_caller caller(std::size_t entry_index = 0) const { return {entry(entry_index), key}; }
@@ -42,8 +49,11 @@
 
 private:
     void write_settings() const;
+    [[nodiscard]] std::string execution_log() const { return folder_ + "/executions"; }
 
     std::string folder_;
+    std::vector<endpoint> engine_addresses_;
+    std::vector<endpoint> plain_addresses_;
     std::vector<endpoint> peer_addresses_;
 };
 
