Let a request go on at a stopping entry while no peer takes it

Cause: a stopping entry wishes the hand-over each 20 ms. Each offer ended the running attempt, also where no peer was there or all refused, and the next attempt was ended by the next wish. A new test with a first piece after 400 ms saw 576 attempts for one request and no whole answer by the end of the drain.

Ruled out: fewer wishes by the drain, which asks all requests alike and does not know who failed.

Change: a request offers itself only when a peer is there, and after an offer in vain waits 2 s, twice as long each time. The test now passes with at most 4 attempts.

--- a/src/entry/running_request.cc
+++ b/src/entry/running_request.cc
@@ -2,6 +2,7 @@
 
 #include "entry/avoidance.h"
 #include "entry/entry_events.h"
+#include "entry/entry_list.h"
 #include "entry/refusals.h"
 
 #include "jujubetide/routing/prompt_blocks.h"
@@ -115,7 +116,7 @@
     if (!actions.empty()) {
         return actions;
     }
-    if (hand_over_wanted_.exchange(false)) {
+    if (hand_over_wanted_.exchange(false) && can_hand_over()) {
         // What was queued for this node is the peer's to decide.
         queue_.clear();
         return machine_.on_hand_over();
@@ -126,6 +127,11 @@
     return {};
 }
 
+bool running_request::can_hand_over() const {
+    return now() >= next_hand_over_ &&
+           !hand_over_targets(parts_.boards.members, self_, given_.record.request).empty();
+}
+
 bool running_request::server_is_leaving() {
     const backend_server_settings* server = server_of(choice_);
     return server != nullptr && parts_.boards.backends.is_leaving(server->host);
@@ -254,6 +260,8 @@
     const absl::StatusOr<endpoint> taken = hand_over(parts_, self_, current_record());
     if (!taken.ok()) {
         parts_.log.write(hand_over_failed, {{"request", given_.record.request.str()}});
+        next_hand_over_ = now() + hand_over_pause_;
+        hand_over_pause_ *= 2;
         take(machine_.on_hand_over_failed(now()));
         return;
     }
--- a/src/entry/running_request.h
+++ b/src/entry/running_request.h
@@ -21,6 +21,9 @@
 /// thread of its own and fills an answer log.
 class running_request {
 public:
+    /// Time after an offer that no peer took; doubles with each.
+    static constexpr micros first_hand_over_pause{2'000'000};
+
     struct options {
         hand_over_record record;
         snapshot_ptr settings;
@@ -75,6 +78,9 @@
     bool take(request_actions actions);
     /// Events that other threads have raised since.
     request_actions outside_events();
+    /// Whether a peer is there and was not in vain asked a moment ago: an offer ends the running
+    /// attempt, so that offers without a pause would never let the answer go on.
+    [[nodiscard]] bool can_hand_over() const;
     [[nodiscard]] bool server_is_leaving();
     [[nodiscard]] bool other_server_available();
 
@@ -115,6 +121,8 @@
     time_point last_piece_at_{};
     std::uint32_t attempt_pieces_ = 0;
     endpoint moved_to_;
+    time_point next_hand_over_{};
+    micros hand_over_pause_ = first_hand_over_pause;
     std::atomic<time_point> last_read_;
     std::atomic<bool> caller_gone_{false};
     std::atomic<bool> hand_over_wanted_{false};
--- a/tests/entry/hand_over_test.cc
+++ b/tests/entry/hand_over_test.cc
@@ -124,3 +124,38 @@
     CHECK(answer.moves == 0);
     CHECK(answer.text == standin_answer("p", 20));
 }
+
+TEST_CASE("without a peer that takes it a request is not begun anew time after time") {
+    const int entries = GENERATE(1, 2);
+    entry_fixture system(2, entries);
+    standin_engine_knobs slow;
+    slow.first_piece = millis{400};
+    slow.between_pieces = millis{20};
+    for (const auto& engine : system.engines) {
+        engine->set_knobs(slow);
+    }
+    if (entries == 2) {
+        // Known as alive, but it refuses.
+        system.entries[1]->server().begin_drain();
+    }
+    std::atomic<int> drained{0};
+    std::thread stop;
+    const caller_answer answer = system.caller(0).stream("chat", "p", pieces, [&](std::size_t n) {
+        if (n == 5) {
+            stop = std::thread([&] {
+                drained += system.entries[0]->server().drain(millis{0}, millis{30'000}) ? 1 : 0;
+            });
+        }
+        return true;
+    });
+    stop.join();
+    std::size_t attempts = 0;
+    for (const auto& engine : system.engines) {
+        attempts += engine->counters().executions_by_attempt.size();
+    }
+    CHECK(drained == 1);
+    CHECK(answer.whole);
+    CHECK(answer.text == standin_answer("p", pieces));
+    // The one that began it, and one for each of the few offers to a peer while it lasts.
+    CHECK(attempts <= 4);
+}
