--- a/src/entry/running_request.cc
+++ b/src/entry/running_request.cc
@@ -2,6 +2,7 @@
 
 #include "entry/avoidance.h"
 #include "entry/entry_events.h"
+#include "entry/entry_list.h"
 #include "entry/refusals.h"
 
 #include "jujubetide/routing/prompt_blocks.h"
@@ -58,9 +59,9 @@
 };
 
 running_request::running_request(entry_parts& parts, const entry_identity& self,
-                                 entry_metrics& metrics, options given)
-    : parts_(parts), self_(self), metrics_(metrics), given_(std::move(given)),
-      budget_(parts.retries, given_.record.service),
+                                 entry_metrics& metrics, answer_time& answer_times, options given)
+    : parts_(parts), self_(self), metrics_(metrics), answer_times_(answer_times),
+      given_(std::move(given)), budget_(parts.retries, given_.record.service),
       machine_(make_start(given_), request_timeouts{}, budget_), log_(given_.record.pieces),
       last_read_(given_.arrived) {}
 
@@ -116,7 +117,7 @@
     if (!actions.empty()) {
         return actions;
     }
-    if (hand_over_wanted_.exchange(false)) {
+    if (hand_over_wanted_.exchange(false) && can_hand_over()) {
         // What was queued for this node is the peer's to decide.
         queue_.clear();
         return machine_.on_hand_over();
@@ -127,6 +128,11 @@
     return {};
 }
 
+bool running_request::can_hand_over() const {
+    return now() >= next_hand_over_ &&
+           !hand_over_targets(parts_.boards.members, self_, given_.record.request).empty();
+}
+
 bool running_request::server_is_leaving() {
     const backend_server_settings* server = server_of(choice_);
     return server != nullptr && parts_.boards.backends.is_leaving(server->host);
@@ -190,7 +196,7 @@
     metrics_.count_attempt(given_.record.service, given_.record.version,
                            machine_.attempts().tried().size() > 1);
     attempt_started_ = now();
-    attempt_had_piece_ = false;
+    attempt_pieces_ = 0;
     last_result_ = {};
     receiver pieces(*this);
     last_result_ = parts_.engines.run(server->address, request, pieces);
@@ -201,10 +207,12 @@
     const bool completed = action.end == attempt_end::completed;
     const backend_server_settings* server = server_of(choice_);
     parts_.routes.on_finished(query_, choice_, last_result_.cached_tokens, completed);
+    answer_times_.on_attempt(given_.record.service, attempt_pieces_,
+                             last_piece_at_ - first_piece_at_);
     if (completed) {
         parts_.boards.backends.on_success(choice_.server);
     } else if (is_server_fault(action.end) || action.end == attempt_end::not_run) {
-        if (!attempt_had_piece_) {
+        if (attempt_pieces_ == 0) {
             // A server that gave a part of the answer still works; its version's evidence counts.
             record_failure(parts_.boards.backends, choice_.server, now());
         }
@@ -214,16 +222,16 @@
                                           {"error", last_result_.error}});
     }
     if (completed || is_server_fault(action.end)) {
-        const time_point first = attempt_had_piece_ ? first_piece_at_ : now();
+        const time_point first = attempt_pieces_ > 0 ? first_piece_at_ : now();
         parts_.versions.record({given_.record.service, given_.record.route, given_.record.version,
                                 choice_.server, !completed, first - attempt_started_, now()});
     }
 }
 
 void running_request::apply(const deliver_piece& action) {
-    if (!attempt_had_piece_) {
-        attempt_had_piece_ = true;
-        first_piece_at_ = now();
+    last_piece_at_ = now();
+    if (attempt_pieces_++ == 0) {
+        first_piece_at_ = last_piece_at_;
         parts_.routes.on_first_piece(query_, choice_);
     }
     if (action.offset == piece_offset(0)) {
@@ -234,6 +242,7 @@
 
 void running_request::apply(const finish_answer& action) {
     metrics_.observe_total(given_.record.service, now() - given_.arrived);
+    answer_times_.on_whole(given_.record.service, action.total.value());
     finish(
         answer_whole{action.finish_reason, last_result_.prompt_tokens, last_result_.cached_tokens},
         "whole");
@@ -252,6 +261,8 @@
     const absl::StatusOr<endpoint> taken = hand_over(parts_, self_, current_record());
     if (!taken.ok()) {
         parts_.log.write(hand_over_failed, {{"request", given_.record.request.str()}});
+        next_hand_over_ = now() + hand_over_pause_;
+        hand_over_pause_ *= 2;
         take(machine_.on_hand_over_failed(now()));
         return;
     }
--- a/src/entry/running_request.h
+++ b/src/entry/running_request.h
@@ -5,6 +5,7 @@
 #include "entry/entry_parts.h"
 #include "entry/hand_over.h"
 
+#include "jujubetide/limits/answer_time.h"
 #include "jujubetide/request/request_machine.h"
 #include "jujubetide/settings/settings_snapshot.h"
 
@@ -20,6 +21,9 @@
 /// thread of its own and fills an answer log.
 class running_request {
 public:
+    /// Time after an offer that no peer took; doubles with each.
+    static constexpr micros first_hand_over_pause{2'000'000};
+
     struct options {
         hand_over_record record;
         snapshot_ptr settings;
@@ -33,7 +37,7 @@
 
     /// `settings` must hold the record's service. All references outlive the request.
     running_request(entry_parts& parts, const entry_identity& self, entry_metrics& metrics,
-                    options given);
+                    answer_time& answer_times, options given);
     /// Ends the request as if its caller had gone, and waits for its thread.
     ~running_request();
     running_request(const running_request&) = delete;
@@ -74,6 +78,9 @@
     bool take(request_actions actions);
     /// Events that other threads have raised since.
     request_actions outside_events();
+    /// Whether a peer is there and was not in vain asked a moment ago: an offer ends the running
+    /// attempt, so that offers without a pause would never let the answer go on.
+    [[nodiscard]] bool can_hand_over() const;
     [[nodiscard]] bool server_is_leaving();
     [[nodiscard]] bool other_server_available();
 
@@ -100,6 +107,7 @@
     entry_parts& parts_;
     const entry_identity& self_;
     entry_metrics& metrics_;
+    answer_time& answer_times_;
     options given_;
     budget budget_;
     request_machine machine_;
@@ -110,8 +118,11 @@
     engine_result last_result_;
     time_point attempt_started_{};
     time_point first_piece_at_{};
-    bool attempt_had_piece_ = false;
+    time_point last_piece_at_{};
+    std::uint32_t attempt_pieces_ = 0;
     endpoint moved_to_;
+    time_point next_hand_over_{};
+    micros hand_over_pause_ = first_hand_over_pause;
     std::atomic<time_point> last_read_;
     std::atomic<bool> caller_gone_{false};
     std::atomic<bool> hand_over_wanted_{false};
