Forget how long answers took once no attempt ends any more

Cause: admission refuses a request whose whole answer cannot end in time, by the mean time between pieces of ended attempts. When engines are so slow that every request is refused, no attempt ends, so that the mean never changes: the service would be refused for good after the engines recover. Found by reading; overload_bench slows engines by half only, where some requests are still admitted.

--- a/src/entry/model_handler.cc
+++ b/src/entry/model_handler.cc
@@ -129,8 +129,9 @@
     if (!choice.ok()) {
         return no_server_refusal();
     }
-    const admission_query admission = make_admission_query(
-        caller, service, query, *choice, answer_times_.expected(service.id, call.max_pieces));
+    const admission_query admission =
+        make_admission_query(caller, service, query, *choice,
+                             answer_times_.expected(service.id, call.max_pieces, query.now));
     const admission_decision decision = parts_.limits.decide(admission);
     if (!decision.admitted()) {
         return refusal_of(decision);
--- a/src/entry/running_request.cc
+++ b/src/entry/running_request.cc
@@ -208,7 +208,7 @@
     const backend_server_settings* server = server_of(choice_);
     parts_.routes.on_finished(query_, choice_, last_result_.cached_tokens, completed);
     answer_times_.on_attempt(given_.record.service, attempt_pieces_,
-                             last_piece_at_ - first_piece_at_);
+                             last_piece_at_ - first_piece_at_, now());
     if (completed) {
         parts_.boards.backends.on_success(choice_.server);
     } else if (is_server_fault(action.end) || action.end == attempt_end::not_run) {
--- a/src/limits/answer_time.cc
+++ b/src/limits/answer_time.cc
@@ -14,14 +14,15 @@
 
 } // namespace
 
-void answer_time::on_attempt(const service_id& service, std::uint32_t pieces,
-                             micros first_to_last) {
+void answer_time::on_attempt(const service_id& service, std::uint32_t pieces, micros first_to_last,
+                             time_point now) {
     if (pieces < 2) {
         return;
     }
     const std::chrono::duration<double> taken = first_to_last;
     services_.update(service, [&](means& known) {
         observe(known.interval, taken.count() / static_cast<double>(pieces - 1));
+        known.last_attempt = now;
     });
 }
 
@@ -29,9 +30,10 @@
     services_.update(service, [&](means& known) { observe(known.pieces, pieces); });
 }
 
-micros answer_time::expected(const service_id& service, std::uint32_t max_pieces) const {
+micros answer_time::expected(const service_id& service, std::uint32_t max_pieces,
+                             time_point now) const {
     const means known = services_.get(service).value_or(means{});
-    if (known.interval < 0.0 || max_pieces == 0) {
+    if (known.interval < 0.0 || max_pieces == 0 || now - known.last_attempt > memory) {
         return micros{0};
     }
     const auto most = static_cast<double>(max_pieces);
--- a/tests/request/overload_simulation_test.cc
+++ b/tests/request/overload_simulation_test.cc
@@ -191,7 +191,7 @@
         asked.now = clock_.now();
         asked.deadline = deadline;
         if (careful_ == care::full) {
-            asked.deadline -= answer_times_.expected(service, pieces);
+            asked.deadline -= answer_times_.expected(service, pieces, clock_.now());
         }
         if (careful_ != care::none && !limits_.decide(asked).admitted()) {
             return;
@@ -249,7 +249,7 @@
         const bool completed = end.end == attempt_end::completed;
         routes_.on_finished(one.query, one.choice, token_count(), completed);
         answer_times_.on_attempt(service, one.attempt_pieces,
-                                 one.last_piece_at - one.first_piece_at);
+                                 one.last_piece_at - one.first_piece_at, clock_.now());
         one.running->cancelled = true;
         engine& server = engine_of(one.choice.server);
         server.running.erase(one.running);
