--- a/src/entry/hand_over.cc
+++ b/src/entry/hand_over.cc
@@ -1,6 +1,7 @@
 #include "entry/hand_over.h"
 
 #include "entry/entry_list.h"
+#include "membership/message_codec.h"
 
 #include <absl/strings/str_cat.h>
 #include <msgpack.hpp>
@@ -60,12 +61,12 @@
 }
 
 absl::StatusOr<hand_over_record> decode_hand_over(const std::string& bytes) {
-    wire_record wire;
-    try {
-        msgpack::unpack(bytes.data(), bytes.size()).get().convert(wire);
-    } catch (const std::exception& error) {
-        return absl::DataLossError(absl::StrCat("not a hand-over record: ", error.what()));
+    const absl::StatusOr<wire_record> read = wire::decode<wire_record>(bytes);
+    if (!read.ok()) {
+        return absl::DataLossError(
+            absl::StrCat("not a hand-over record: ", read.status().message()));
     }
+    const wire_record& wire = *read;
     return hand_over_record{request_id(wire.request),
                             wire.caller_request_id,
                             customer_id(wire.customer),
--- a/src/moves/move_evidence_codec.cc
+++ b/src/moves/move_evidence_codec.cc
@@ -81,8 +81,13 @@
 template <class Wire>
 absl::StatusOr<Wire> unpack(const std::string& body) {
     try {
+        // Every element takes a byte at least; without limits a few bytes claim gigabytes.
+        constexpr std::size_t max_depth = 8;
+        const std::size_t size = body.size();
+        const msgpack::unpack_limit limit(size, size, size, size, size, max_depth);
         std::size_t read = 0;
-        const msgpack::object_handle handle = msgpack::unpack(body.data(), body.size(), read);
+        const msgpack::object_handle handle =
+            msgpack::unpack(body.data(), size, read, nullptr, nullptr, limit);
         if (read != body.size()) {
             return absl::InvalidArgumentError("bytes after the message");
         }
--- a/tests/moves/move_evidence_codec_test.cc
+++ b/tests/moves/move_evidence_codec_test.cc
@@ -60,4 +60,10 @@
     }));
 }
 
+TEST_CASE("a body that claims more than it holds is refused before memory is taken for it") {
+    // An array of 2^28 elements, of which none follows.
+    const auto read = decode_evidence_report(std::string("\xdd\x10\x00\x00\x00", 5));
+    CHECK_THAT(std::string(read.status().message()), Catch::Contains("overflow"));
+}
+
 } // namespace jujubetide
