Run all repeated work that blocks by one class

Cause: periodic_task, periodic_thread and the control process's table_poller each had a thread, a stop flag and a wait of their own for the same job. Change: periodic_task also takes a function that chooses the time until its next run, by timers; the entry's pollers and the control's table poller use it. An entry reads the table each second while nothing was ever declared, so that a new system's first settings need no half minute where no peer brings them. Ruled out: fixed periods for all, which would let load polls follow each other without a pause while engines do not answer. Not run: the rest under the sanitizers.

--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -108,7 +108,8 @@
 
 void serve_operators(const process_settings& settings, control_process& process,
                      control_server& server) {
-    const table_poller poller(process.parts, process.random, settings.settings_poll);
+    const table_poller poller(process.parts, process.timers, process.random,
+                              settings.settings_poll);
     process.log.write(control_listening, {{"address", server.address().str()}});
     std::cout << "listening " << server.address().str() << std::endl;
 
--- a/src/control/table_poller.cc
+++ b/src/control/table_poller.cc
@@ -37,37 +37,20 @@
 
 } // namespace
 
-table_poller::table_poller(const control_parts& parts, random_source& random, millis period)
-    : parts_(parts), random_(random), period_(period), thread_([this] { run(); }) {}
-
-table_poller::~table_poller() {
-    {
-        const std::lock_guard lock(mutex_);
-        stopping_ = true;
-    }
-    stopped_.notify_all();
-    thread_.join();
-}
+table_poller::table_poller(const control_parts& parts, timer_service& timers, random_source& random,
+                           millis period)
+    : parts_(parts), random_(random), period_(period), task_(timers, [this] { return poll(); }) {}
 
 absl::Status table_poller::read(const control_parts& parts) {
     absl::Status settings = read_settings(parts);
     return settings.ok() ? read_moves(parts) : settings;
 }
 
-void table_poller::run() {
-    std::unique_lock lock(mutex_);
-    while (!stopping_) {
-        lock.unlock();
-        const absl::Status status = read(parts_);
-        if (!status.ok()) {
-            parts_.log.write(table_not_read, {{"error", std::string(status.message())}});
-        }
-        lock.lock();
-        stopped_.wait_for(lock, next_wait(), [this] { return stopping_; });
+micros table_poller::poll() {
+    const absl::Status status = read(parts_);
+    if (!status.ok()) {
+        parts_.log.write(table_not_read, {{"error", std::string(status.message())}});
     }
-}
-
-micros table_poller::next_wait() {
     const bool has_settings = parts_.boards.settings.current() != nullptr;
     const millis base = has_settings ? period_ : std::min(period_, first_period);
     const double factor = 1.0 - jitter + 2.0 * jitter * random_.uniform();
--- a/src/edge/periodic_task.cc
+++ b/src/edge/periodic_task.cc
@@ -5,17 +5,23 @@
 namespace jujubetide {
 
 periodic_task::periodic_task(timer_service& timers, micros period, std::function<void()> function)
-    : function_(std::move(function)), thread_([this] { run(); }),
-      timer_(timers.every(period, micros{0}, [this] { ask(); })) {}
+    : timers_(timers), function_([work = std::move(function)] {
+          work();
+          return micros{0};
+      }),
+      timer_(timers.every(period, micros{0}, [this] { ask(); })), thread_([this] { run(); }) {}
+
+periodic_task::periodic_task(timer_service& timers, std::function<micros()> function)
+    : timers_(timers), function_(std::move(function)), asked_(true), thread_([this] { run(); }) {}
 
 periodic_task::~periodic_task() {
-    timer_.reset();
     {
         const std::lock_guard lock(mutex_);
         stopping_ = true;
     }
     changed_.notify_all();
     thread_.join();
+    timer_.reset();
 }
 
 void periodic_task::ask() {
@@ -33,7 +39,10 @@
         }
         asked_ = false;
         lock.unlock();
-        function_();
+        const micros wait = function_();
+        if (wait > micros{0}) {
+            timer_ = timers_.once(wait, [this] { ask(); });
+        }
         lock.lock();
     }
 }
--- a/src/entry/load_poller.cc
+++ b/src/entry/load_poller.cc
@@ -13,7 +13,7 @@
 load_poller::load_poller(entry_parts& parts, membership_node& membership)
     : parts_(parts), membership_(membership) {
     for (std::size_t part = 0; part < thread_count; ++part) {
-        threads_.push_back(std::make_unique<periodic_thread>([this, part] {
+        tasks_.push_back(std::make_unique<periodic_task>(parts.timers, [this, part] {
             poll_part(part);
             return period;
         }));
--- a/src/entry/load_poller.h
+++ b/src/entry/load_poller.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "entry/entry_parts.h"
-#include "entry/periodic_thread.h"
 
+#include "jujubetide/edge/periodic_task.h"
 #include "jujubetide/membership/membership_node.h"
 
 #include <memory>
@@ -27,7 +27,7 @@
 
     entry_parts& parts_;
     membership_node& membership_;
-    std::vector<std::unique_ptr<periodic_thread>> threads_;
+    std::vector<std::unique_ptr<periodic_task>> tasks_;
 };
 
 } // namespace jujubetide
--- a/src/entry/settings_poller.cc
+++ b/src/entry/settings_poller.cc
@@ -7,7 +7,7 @@
 settings_poller::settings_poller(entry_parts& parts, random_source& random, millis period,
                                  std::function<void()> on_loaded)
     : parts_(parts), random_(random), period_(period), on_loaded_(std::move(on_loaded)),
-      store_(parts.platform_table), thread_([this] { return poll(); }) {}
+      store_(parts.platform_table), task_(parts.timers, [this] { return poll(); }) {}
 
 micros settings_poller::poll() {
     const absl::Status loaded = load();
@@ -16,7 +16,8 @@
     } else if (parts_.boards.settings.current() != nullptr) {
         on_loaded_();
     }
-    const bool has_settings = parts_.boards.settings.current() != nullptr;
+    const snapshot_ptr current = parts_.boards.settings.current();
+    const bool has_settings = current != nullptr && current->at() > revision();
     const millis base = has_settings ? period_ : std::min(period_, first_load_period);
     const double factor = 1.0 - jitter + 2.0 * jitter * random_.uniform();
     return std::chrono::duration_cast<micros>(micros(base) * factor);
--- a/src/entry/settings_poller.h
+++ b/src/entry/settings_poller.h
@@ -1,17 +1,17 @@
 #pragma once
 
 #include "entry/entry_parts.h"
-#include "entry/periodic_thread.h"
 
 #include "jujubetide/base/random_source.h"
+#include "jujubetide/edge/periodic_task.h"
 #include "jujubetide/settings/settings_store.h"
 
 #include <functional>
 
 namespace jujubetide {
 
-/// Reads newer settings from the table, slowly and with jitter once there are some; until then each
-/// second. Peers bring changes faster.
+/// Reads newer settings from the table, slowly and with jitter once there are some; until then, and
+/// while nothing was ever declared, each second. Peers bring changes faster.
 class settings_poller {
 public:
     /// Part by which a wait may be longer or shorter.
@@ -31,7 +31,7 @@
     millis period_;
     std::function<void()> on_loaded_;
     settings_store store_;
-    periodic_thread thread_;
+    periodic_task task_;
 };
 
 } // namespace jujubetide
