Bound a plain service's answer in size and in whole time

Cause: the client kept an answer of any length in memory, and its limit of time held for each read only: a service that sends a byte now and then held its caller, a thread and, past the deadline, the claim without end. Ruled out: a watch on the connection from a timer, which the HTTP library's client without limits of its own would need as well; a limit inside the request machine, which sees whole answers only. Change: calls to plain services run on the same stream as engines' calls, with one limit for the whole. The services' settings max_answer_bytes (16 MiB) and answer_timeout_ms (60 s) are checked, and refused for model services. What is cut off after it was sent is unknown and keeps its claim; an answer that is too large is not asked for at another server. The added cost of a second thread for each plain call is not measured.

--- a/include/jujubetide/backend/plain_client.h
+++ b/include/jujubetide/backend/plain_client.h
@@ -4,6 +4,7 @@
 #include "jujubetide/base/ids.h"
 #include "jujubetide/base/units.h"
 
+#include <cstddef>
 #include <string>
 
 namespace jujubetide {
@@ -17,7 +18,10 @@
     std::string target;
     std::string content_type;
     std::string body;
+    /// For the whole call: connection, request and answer.
     millis time_left{0};
+    /// Longest body of an answer that is read.
+    std::size_t max_answer_bytes = 16U << 20U;
 };
 
 enum class plain_outcome {
@@ -25,12 +29,14 @@
     answered,
     /// The call certainly had no effect: no connection, or the server said that it did not run it.
     not_run,
-    /// The call may have been run and its answer lost.
+    /// The call may have been run and its answer lost or not read to its end.
     unknown,
 };
 
 struct plain_result {
     plain_outcome outcome = plain_outcome::unknown;
+    /// The answer was longer than the request allows; the outcome is then `unknown`.
+    bool answer_too_large = false;
     int status = 0;
     std::string content_type;
     std::string body;
--- a/include/jujubetide/settings/settings_snapshot.h
+++ b/include/jujubetide/settings/settings_snapshot.h
@@ -41,6 +41,10 @@
     /// Deadline of a request that names none.
     millis default_deadline{30'000};
     std::size_t max_body_bytes = 1U << 20U;
+    /// Longest body of a plain service's answer.
+    std::size_t max_answer_bytes = 16U << 20U;
+    /// Longest time for one call to a plain service, also where the caller's deadline is later.
+    millis answer_timeout{60'000};
     /// Retries allowed for each 100 requests.
     double retry_percent = 10.0;
 };
--- a/src/backend/http_stream.h
+++ b/src/backend/http_stream.h
@@ -4,6 +4,7 @@
 #include "jujubetide/http/http_client.h"
 
 #include <condition_variable>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -11,7 +12,15 @@
 
 namespace jujubetide {
 
-/// A POST whose answer is read piecewise. The connection has a thread of its own, so that the
+/// What is sent to a server.
+struct http_request {
+    std::string method = "POST";
+    std::string target;
+    std::string body;
+    std::map<std::string, std::string> headers;
+};
+
+/// A call whose answer is read piecewise. The connection has a thread of its own, so that the
 /// caller can wait for bytes with a limit and stop at any time.
 class http_stream {
 public:
@@ -21,8 +30,7 @@
         bool finished = false;
     };
 
-    http_stream(const endpoint& server, const std::string& target, std::string body,
-                const http_timeouts& timeouts);
+    http_stream(const endpoint& server, http_request request, const http_timeouts& timeouts);
     /// Closes the connection and waits for the thread.
     ~http_stream();
     http_stream(const http_stream&) = delete;
@@ -32,11 +40,12 @@
     progress wait(millis limit);
     /// The answer's status; 0 while none came.
     [[nodiscard]] int status() const;
+    [[nodiscard]] std::string content_type() const;
     /// OK when the answer ended in good form; meaningful once finished. Errors as for `to_status`.
     [[nodiscard]] absl::Status result() const;
 
 private:
-    void run(const std::string& target, std::string body);
+    void run(http_request sent);
     bool receive(const char* data, std::size_t size);
 
     std::unique_ptr<httplib::Client> client_;
@@ -44,6 +53,7 @@
     std::condition_variable changed_;
     std::string bytes_;
     int status_ = 0;
+    std::string content_type_;
     bool stopping_ = false;
     bool finished_ = false;
     absl::Status result_;
--- a/src/entry/plain_handler.cc
+++ b/src/entry/plain_handler.cc
@@ -10,6 +10,8 @@
 #include <absl/strings/str_cat.h>
 #include <httplib.h>
 
+#include <algorithm>
+
 namespace jujubetide {
 namespace {
 
@@ -203,6 +205,11 @@
             break;
         }
         const plain_result result = send_attempt(call, query, *choice, step.attempt);
+        if (result.answer_too_large) {
+            // Another server's answer would be no shorter.
+            return unknown_problem("answer_too_large",
+                                   "the service's answer is larger than the entry passes on");
+        }
         step = machine.on_result(result.outcome, parts_.time.now());
         if (step.kind == plain_step_kind::answer) {
             return stored_answer{result.status, result.content_type, result.body};
@@ -217,22 +224,26 @@
     plain_request request = call.request;
     request.attempt = attempt;
     const time_point sent_at = parts_.time.now();
-    request.time_left = to_millis(call.deadline - sent_at);
+    request.time_left = std::min(to_millis(call.deadline - sent_at), call.service.answer_timeout);
+    request.max_answer_bytes = call.service.max_answer_bytes;
     parts_.routes.on_sent(query, choice);
     metrics_.count_attempt(call.service.id, query.version, !query.tried.empty());
     plain_result result = parts_.plain.call(server->address, request);
 
-    const bool answered = result.outcome == plain_outcome::answered;
+    const bool answered = result.outcome == plain_outcome::answered || result.answer_too_large;
     const time_point now = parts_.time.now();
     parts_.routes.on_finished(query, choice, token_count(), answered);
     if (answered) {
         parts_.boards.backends.on_success(server->id);
     } else {
         record_failure(parts_.boards.backends, server->id, now);
-        parts_.log.write(attempt_failed, {{"attempt", attempt.str()},
-                                          {"server", server->id.str()},
-                                          {"end", "no_answer"},
-                                          {"error", result.error}});
+    }
+    if (!answered || result.answer_too_large) {
+        parts_.log.write(attempt_failed,
+                         {{"attempt", attempt.str()},
+                          {"server", server->id.str()},
+                          {"end", result.answer_too_large ? "answer_too_large" : "no_answer"},
+                          {"error", result.error}});
     }
     constexpr int first_server_error = 500;
     const bool failed = result.outcome == plain_outcome::unknown ||
--- a/src/settings/document_readers.cc
+++ b/src/settings/document_readers.cc
@@ -63,6 +63,17 @@
     }
 }
 
+/// The limits of answers that pass through whole; a model's answer is bounded by its pieces.
+void read_answer_limits(yaml_reader& reader, service_settings& service) {
+    reader.whole("max_answer_bytes", service.max_answer_bytes, least_body_bytes, most_body_bytes);
+    reader.duration("answer_timeout_ms", service.answer_timeout, least_duration, most_deadline);
+    for (const char* field : {"max_answer_bytes", "answer_timeout_ms"}) {
+        if (service.kind == service_kind::model && reader.has(field)) {
+            reader.add(field, "is a limit of plain services, and the service's kind is model");
+        }
+    }
+}
+
 void check_subtree(yaml_reader& reader, const std::string& subtree) {
     const bool well_formed = absl::StartsWith(subtree, "/") && absl::EndsWith(subtree, "/") &&
                              !absl::StrContains(subtree, "//") && !absl::StrContains(subtree, "..");
@@ -99,6 +110,7 @@
                     most_first_piece_target);
     reader.duration("default_deadline_ms", service.default_deadline, least_duration, most_deadline);
     reader.whole("max_body_bytes", service.max_body_bytes, least_body_bytes, most_body_bytes);
+    read_answer_limits(reader, service);
     reader.real("retry_percent", service.retry_percent, 0.0, most_retry_percent);
     for (yaml_reader& route : reader.maps("routes", presence::required)) {
         service.routes.push_back(read_route(route, service.kind));
--- a/tests/backend/http_plain_client_test.cc
+++ b/tests/backend/http_plain_client_test.cc
@@ -3,6 +3,9 @@
 #include "jujubetide/backend/http_plain_client.h"
 
 #include <catch2/catch.hpp>
+#include <httplib.h>
+
+#include <thread>
 
 using namespace jujubetide;
 
@@ -59,3 +62,40 @@
     { closed = make_service()->address(); }
     CHECK(client.call(closed, make_request("r6")).outcome == plain_outcome::not_run);
 }
+
+TEST_CASE("an answer over its limits of size or time is cut off, and the call may have run") {
+    const auto server = http_server::make({}, [](httplib::Server& routes) {
+        routes.Post("/large", [](const httplib::Request&, httplib::Response& response) {
+            response.set_content(std::string(100'000, 'x'), "text/plain");
+        });
+        // A piece comes before each wait for bytes would end, and the answer never ends.
+        routes.Post("/endless", [](const httplib::Request&, httplib::Response& response) {
+            response.set_chunked_content_provider(
+                "text/plain", [](std::size_t, httplib::DataSink& sink) {
+                    std::this_thread::sleep_for(millis{5});
+                    return sink.is_writable() && sink.write("x", 1);
+                });
+        });
+    });
+    REQUIRE(server.ok());
+    http_plain_client client;
+    plain_request request = make_request("r1");
+    request.target = "/large";
+    request.max_answer_bytes = 100'000;
+    const plain_result whole = client.call((*server)->address(), request);
+    CHECK(whole.outcome == plain_outcome::answered);
+    CHECK(whole.content_type == "text/plain");
+    CHECK(whole.body.size() == 100'000);
+    request.max_answer_bytes = 99'999;
+    const plain_result cut = client.call((*server)->address(), request);
+    CHECK(cut.outcome == plain_outcome::unknown);
+    CHECK(cut.answer_too_large);
+    CHECK(cut.body.empty());
+
+    request.target = "/endless";
+    request.time_left = millis{300};
+    const plain_result late = client.call((*server)->address(), request);
+    CHECK(late.outcome == plain_outcome::unknown);
+    CHECK_FALSE(late.answer_too_large);
+    CHECK_THAT(late.error, Catch::Contains("300 ms"));
+}
--- a/tests/settings/settings_parser_test.cc
+++ b/tests/settings/settings_parser_test.cc
@@ -54,6 +54,8 @@
     REQUIRE(dispatch->routes.size() == 2);
     CHECK_FALSE(dispatch->routes[0].idempotent);
     CHECK(dispatch->routes[1].priority == 3);
+    CHECK(dispatch->max_answer_bytes == 16U << 20U);
+    CHECK(dispatch->answer_timeout == millis{60'000});
     const auto servers = snapshot->servers_of(service_id("diagnosis"));
     REQUIRE(servers.size() == 1);
     CHECK(servers[0]->address == endpoint{"10.0.0.1", 8000});
@@ -123,3 +125,24 @@
                  "key_sha256: " + std::string(64, 'c') + "\nservices: [diagnosis]\n",
                  "team 'dunajsky' has no service 'diagnosis'");
 }
+
+TEST_CASE("the limits of a plain service's answer are checked") {
+    const std::string path = "/teams/frio/services/dispatch";
+    const std::string plain = "kind: plain\nversion: d1\nroutes:\n"
+                              "  - {id: read, idempotent: true}\n";
+    settings_documents documents = valid_documents();
+    documents[path] = plain + "max_answer_bytes: 2048\nanswer_timeout_ms: 500\n";
+    findings found;
+    const snapshot_ptr snapshot = parse_settings(documents, revision{1}, found);
+    REQUIRE(snapshot);
+    const service_settings* dispatch = snapshot->find_service(service_id("dispatch"));
+    CHECK(dispatch->max_answer_bytes == 2'048);
+    CHECK(dispatch->answer_timeout == millis{500});
+    expect_fault(path, plain + "max_answer_bytes: 1023\n", "max_answer_bytes");
+    expect_fault(path, plain + "max_answer_bytes: 67108865\n", "max_answer_bytes");
+    expect_fault(path, plain + "answer_timeout_ms: 0\n", "answer_timeout_ms");
+    expect_fault(path, plain + "answer_timeout_ms: 3600001\n", "answer_timeout_ms");
+    expect_fault("/teams/frio/services/diagnosis",
+                 "kind: model\nversion: v1\nroutes:\n  - id: notes\nmax_answer_bytes: 2048\n",
+                 "limit of plain services");
+}
