Log the settings that come in force at an entry

Cause: event JT4003 was declared and listed but never written. Ruled out: writing it in the poller, which does not see settings that peers bring. Change: the entry's watch looks at the board and logs each newer revision. The comment of process_log names the order of a line's parts as it is written.

--- a/include/jujubetide/edge/process_log.h
+++ b/include/jujubetide/edge/process_log.h
@@ -6,11 +6,11 @@
 
 namespace jujubetide {
 
-/// Writes log lines to standard error: time, severity, event number and name, fields as
+/// Writes log lines to standard error: time, program, severity, event number and name, fields as
 /// `key=value`.
 class process_log final : public log_sink {
 public:
-    /// `program` begins each line; lines below `least` are dropped.
+    /// `program` stands in each line after the time; lines below `least` are dropped.
     explicit process_log(std::string program, log_severity least = log_severity::info);
 
 protected:
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -4,6 +4,7 @@
 #include "entry/entry_server.h"
 #include "entry/load_poller.h"
 #include "entry/settings_poller.h"
+#include "entry/settings_watch.h"
 
 #include "jujubetide/backend/http_engine_client.h"
 #include "jujubetide/backend/http_plain_client.h"
@@ -122,7 +123,9 @@
     const settings_poller settings_source(process.parts, process.random, settings.settings_poll,
                                           [&server] { server.set_settings_ready(); });
     const load_poller loads(process.parts, node.membership());
+    settings_watch in_force(process.boards.settings, process.log);
     const auto watch = process.timers.every(watch_period, watch_period, [&] {
+        in_force.look();
         if (node.settings_ready()) {
             server.set_settings_ready();
         }
