Show control traffic and shares in the metrics, refuse bad input in one place, and be ready only with services

Cause: neither program showed the bytes between the processes nor the share that each version is to get, and control had no latencies. Change: node_metrics holds what both have (revision, members, shares, bytes and messages by kind and direction), control adds a histogram of its answers. Counters are raised to the link's totals when they are read, so that the sockets' thread does no more than before.

Cause: entry and control each explained the library's statuses, differently; a slow sender got 400; a body of any stated length was read to its end before the 413. The new test also found that the library holds bodies in chunks to no limit (200 for 2,000 bytes over a limit of 1,000). Change: http_server answers all of these; bodies in chunks (411), compressed ones (415) and those of more than twice the limit are refused before they are read. Ruled out: refusing every larger body early, since a sender may then read no answer: `bad input is refused at once as not run` failed on that.

Cause: an entry of a new system said that it was ready and refused callers' keys with 401. Change: it is ready, and takes calls, once its settings declare a service; until then 503 not_ready with Retry-After. Control stays ready without services, since the first operator applies there.

The new tests but for bodies in chunks were not run against the old code.

--- a/include/jujubetide/http/http_server.h
+++ b/include/jujubetide/http/http_server.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace httplib {
 class Server; // NOLINT(readability-identifier-naming)
@@ -25,9 +26,14 @@
     millis read_timeout{5'000};
     /// How long an idle connection stays open.
     millis keep_alive{5'000};
+    /// Told of each answer once it is written; the time counts from the whole request head on.
+    std::function<void(const std::string& method, int status, micros latency)> on_answer;
 };
 
-/// An HTTP server on its own threads.
+/// An HTTP server on its own threads. What it refuses itself, such as a malformed request (400), a
+/// slow one (408), an unknown path (404) or a body that is too large (413), is answered by a
+/// problem. A body that states more than twice the limit or nothing (411), or that is compressed
+/// (415), is refused before it is read, and the connection closed.
 class http_server {
 public:
     /// Binds the address and lets `add_routes` register the handlers, then begins to answer.
--- a/include/jujubetide/peer/nghttp2_peer_link.h
+++ b/include/jujubetide/peer/nghttp2_peer_link.h
@@ -31,15 +31,6 @@
     millis backoff_max{2'000};
 };
 
-/// Bytes of HTTP/2 frames that carried one kind of messages and their answers.
-struct peer_traffic {
-    peer_message_kind kind = peer_message_kind::heartbeat;
-    std::uint64_t bytes_sent = 0;
-    std::uint64_t bytes_received = 0;
-    std::uint64_t messages_sent = 0;
-    std::uint64_t messages_received = 0;
-};
-
 /// Messages as HTTP/2 streams without TLS (prior knowledge) over one kept TCP connection to each
 /// peer. One thread polls all sockets; a small pool runs the handlers. Who sends is stated by the
 /// sender and not proven: the network between the nodes is trusted.
@@ -55,8 +46,6 @@
 
     /// Where peers connect.
     [[nodiscard]] endpoint listening() const;
-    /// One entry for each kind that has been sent or received.
-    [[nodiscard]] std::vector<peer_traffic> traffic() const;
     /// Ends all connections and handlers; calls that wait fail. Called by the destructor.
     void stop();
 
@@ -65,6 +54,7 @@
     absl::StatusOr<std::string> do_call(const endpoint& peer, peer_message_kind kind,
                                         std::string body, millis timeout) override;
     void do_set_handler(peer_message_kind kind, handler function) override;
+    [[nodiscard]] std::vector<peer_traffic> do_traffic() const override;
 
 private:
     class loop;
--- a/include/jujubetide/peer/peer_link.h
+++ b/include/jujubetide/peer/peer_link.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace jujubetide {
 
@@ -44,6 +45,16 @@
     std::string body;
 };
 
+/// Bytes of frames that carried one kind of messages and their answers. A message is a request;
+/// answers count as bytes only.
+struct peer_traffic {
+    peer_message_kind kind = peer_message_kind::heartbeat;
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t bytes_received = 0;
+    std::uint64_t messages_sent = 0;
+    std::uint64_t messages_received = 0;
+};
+
 /// Carries messages between the processes of the system. Thread-safe.
 class peer_link {
 public:
@@ -65,6 +76,8 @@
     void set_handler(peer_message_kind kind, handler function) {
         do_set_handler(kind, std::move(function));
     }
+    /// One entry for each kind that has been sent or received.
+    [[nodiscard]] std::vector<peer_traffic> traffic() const { return do_traffic(); }
 
 protected:
     peer_link() = default;
@@ -75,6 +88,8 @@
     virtual absl::StatusOr<std::string> do_call(const endpoint& peer, peer_message_kind kind,
                                                 std::string body, millis timeout) = 0;
     virtual void do_set_handler(peer_message_kind kind, handler function) = 0;
+    /// Of a link that counts nothing: none.
+    [[nodiscard]] virtual std::vector<peer_traffic> do_traffic() const { return {}; }
 };
 
 } // namespace jujubetide
--- a/src/control/control_metrics.cc
+++ b/src/control/control_metrics.cc
@@ -7,6 +7,10 @@
 namespace jujubetide {
 namespace {
 
+// Bounds of the histogram, in seconds.
+const prometheus::Histogram::BucketBoundaries latency_bounds{0.005, 0.01, 0.025, 0.05, 0.1,
+                                                             0.25,  0.5,  1.0,   2.5,  10.0};
+
 prometheus::Gauge& add_gauge(prometheus::Registry& registry, const std::string& name,
                              const std::string& help) {
     return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
@@ -20,24 +24,29 @@
                    .Name("jujubetide_operator_answers_total")
                    .Help("Answers to operators by method and status.")
                    .Register(*registry_)),
-      revision_(add_gauge(*registry_, "jujubetide_settings_revision",
-                          "Revision of the settings in force at this process.")),
+      latencies_(prometheus::BuildHistogram()
+                     .Name("jujubetide_operator_answer_seconds")
+                     .Help("Time from an operator's request to the answer by method.")
+                     .Register(*registry_)),
       behind_(add_gauge(*registry_, "jujubetide_nodes_behind",
                         "Nodes at which these settings are not known to be in force.")),
-      members_(
-          add_gauge(*registry_, "jujubetide_members", "Nodes that are not known to be dead.")) {}
+      node_(*registry_) {}
 
 void control_metrics::count_answer(const std::string& method, int status) {
     answers_.Add({{"method", method}, {"status", std::to_string(status)}}).Increment();
 }
 
-std::string control_metrics::text(const blackboard& boards) {
+void control_metrics::observe_answer(const std::string& method, micros latency) {
+    latencies_.Add({{"method", method}}, latency_bounds)
+        .Observe(std::chrono::duration<double>(latency).count());
+}
+
+std::string control_metrics::text(const blackboard& boards, const peer_link* peers) {
     const snapshot_ptr settings = boards.settings.current();
     const revision at = settings ? settings->at() : revision{};
     const revision_report report = report_revision(boards.members, at);
-    revision_.Set(static_cast<double>(at.value()));
     behind_.Set(static_cast<double>(report.behind.size()));
-    members_.Set(static_cast<double>(report.nodes));
+    node_.update(boards, peers == nullptr ? std::vector<peer_traffic>() : peers->traffic());
     return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
 
--- a/src/control/control_server.cc
+++ b/src/control/control_server.cc
@@ -7,29 +7,32 @@
 namespace jujubetide {
 namespace {
 
-/// Gives the statuses that the HTTP library sets itself a body.
-void explain_status(httplib::Response& response) {
-    if (!response.body.empty()) {
-        return;
-    }
+void refuse_unready(httplib::Response& response) {
     problem error;
-    error.status = response.status;
-    error.code = response.status == 404 ? "unknown_path" : "bad_request";
-    error.detail = response.status == 413 ? "the body is too large" : "the call is not understood";
+    error.status = 503;
+    error.code = "no_settings_yet";
+    error.detail = "this process has not read the settings yet";
     set_problem(response, error);
 }
 
 } // namespace
 
-control_server::control_server(const control_parts& parts)
-    : parts_(parts), gate_(parts_), settings_(parts_, gate_), moves_(parts_, gate_),
+control_server::control_server(const control_parts& parts, const peer_link* peers)
+    : parts_(parts), peers_(peers), gate_(parts_), settings_(parts_, gate_), moves_(parts_, gate_),
       status_(parts_, gate_) {}
 
 absl::StatusOr<std::unique_ptr<control_server>>
-control_server::make(const control_parts& parts, const http_server_options& options) {
-    std::unique_ptr<control_server> server(new control_server(parts));
+control_server::make(const control_parts& parts, const http_server_options& options,
+                     const peer_link* peers) {
+    std::unique_ptr<control_server> server(new control_server(parts, peers));
+    http_server_options counted = options;
+    counted.on_answer = [&metrics = server->metrics_](const std::string& method, int status,
+                                                      micros latency) {
+        metrics.count_answer(method, status);
+        metrics.observe_answer(method, latency);
+    };
     auto http = http_server::make(
-        options, [&server](httplib::Server& routes) { server->add_routes(routes); });
+        counted, [&server](httplib::Server& routes) { server->add_routes(routes); });
     if (!http.ok()) {
         return http.status();
     }
@@ -38,11 +41,6 @@
 }
 
 void control_server::add_routes(httplib::Server& routes) {
-    routes.set_error_handler(
-        [](const httplib::Request&, httplib::Response& response) { explain_status(response); });
-    routes.set_logger([this](const httplib::Request& request, const httplib::Response& response) {
-        metrics_.count_answer(request.method, response.status);
-    });
     add_health_routes(routes);
     settings_.add_routes(routes);
     moves_.add_routes(routes);
@@ -54,12 +52,13 @@
         response.set_content("ok\n", "text/plain");
     });
     routes.Get("/readyz", [this](const httplib::Request&, httplib::Response& response) {
-        const bool ready = parts_.boards.settings.current() != nullptr;
-        response.status = ready ? 200 : 503;
-        response.set_content(ready ? "ready\n" : "no settings yet\n", "text/plain");
+        if (parts_.boards.settings.current() == nullptr) {
+            return refuse_unready(response);
+        }
+        response.set_content("ready\n", "text/plain");
     });
     routes.Get("/metrics", [this](const httplib::Request&, httplib::Response& response) {
-        response.set_content(metrics_.text(parts_.boards), "text/plain; version=0.0.4");
+        response.set_content(metrics_.text(parts_.boards, peers_), "text/plain; version=0.0.4");
     });
 }
 
--- a/src/control/control_server.h
+++ b/src/control/control_server.h
@@ -18,20 +18,23 @@
 /// The operators' HTTP interface.
 class control_server {
 public:
-    /// The parts and what they refer to outlive the server.
+    /// The parts and what they refer to outlive the server, as does the link, whose traffic the
+    /// metrics show; null for none.
     static absl::StatusOr<std::unique_ptr<control_server>> make(const control_parts& parts,
-                                                                const http_server_options& options);
+                                                                const http_server_options& options,
+                                                                const peer_link* peers = nullptr);
 
     [[nodiscard]] const endpoint& address() const { return http_->address(); }
     /// Takes no new calls and waits for the running ones.
     void stop() { http_->stop(); }
 
 private:
-    explicit control_server(const control_parts& parts);
+    control_server(const control_parts& parts, const peer_link* peers);
     void add_routes(httplib::Server& routes);
     void add_health_routes(httplib::Server& routes);
 
     control_parts parts_;
+    const peer_link* peers_;
     control_metrics metrics_;
     operator_gate gate_;
     settings_handler settings_;
--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -131,7 +131,7 @@
     }
     settings.peer_listen = (*link)->listening();
     control_process process(settings);
-    const auto server = control_server::make(process.parts, make_options(settings));
+    const auto server = control_server::make(process.parts, make_options(settings), link->get());
     if (!server.ok()) {
         return fail(server.status());
     }
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -38,12 +38,11 @@
       first_piece_(histograms(*registry_, "jujubetide_first_piece_seconds",
                               "Time to the first piece of an answer")),
       total_(histograms(*registry_, "jujubetide_answer_seconds", "Time to the whole answer")),
-      settings_revision_(
-          gauge(*registry_, "jujubetide_settings_revision", "Revision of the settings in force")),
-      members_(gauge(*registry_, "jujubetide_members", "Nodes known and not dead")),
-      running_(gauge(*registry_, "jujubetide_running_requests", "Requests that run now")) {}
+      running_(gauge(*registry_, "jujubetide_running_requests", "Requests that run now")),
+      node_(*registry_) {}
 
-std::string entry_metrics::text() const {
+std::string entry_metrics::text(const blackboard& boards, const peer_link& peers) {
+    node_.update(boards, peers.traffic());
     return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
 
@@ -67,14 +66,6 @@
     total_.Add({{"service", service.str()}}, latency_bounds).Observe(in_seconds(latency));
 }
 
-void entry_metrics::set_settings_revision(revision at) {
-    settings_revision_.Set(static_cast<double>(at.value()));
-}
-
-void entry_metrics::set_members(std::size_t count) {
-    members_.Set(static_cast<double>(count));
-}
-
 void entry_metrics::set_running(std::size_t count) {
     running_.Set(static_cast<double>(count));
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "peer/node_metrics.h"
+
 #include "jujubetide/base/ids.h"
 #include "jujubetide/base/units.h"
 
@@ -19,18 +21,14 @@
 public:
     entry_metrics();
 
-    /// The registry; other parts of the process add theirs.
-    prometheus::Registry& registry() { return *registry_; }
-    /// All metrics in the Prometheus text format.
-    [[nodiscard]] std::string text() const;
+    /// All metrics in the Prometheus text format, with those of the node read now.
+    [[nodiscard]] std::string text(const blackboard& boards, const peer_link& peers);
 
     /// A request got its outcome: `whole`, `not_run`, `unknown`, `moved` or `caller_gone`.
     void count_request(const service_id& service, const std::string& outcome);
     void count_attempt(const service_id& service, const version_id& version, bool is_retry);
     void observe_first_piece(const service_id& service, micros latency);
     void observe_total(const service_id& service, micros latency);
-    void set_settings_revision(revision at);
-    void set_members(std::size_t count);
     void set_running(std::size_t count);
 
 private:
@@ -40,9 +38,8 @@
     prometheus::Family<prometheus::Counter>& retries_;
     prometheus::Family<prometheus::Histogram>& first_piece_;
     prometheus::Family<prometheus::Histogram>& total_;
-    prometheus::Gauge& settings_revision_;
-    prometheus::Gauge& members_;
     prometheus::Gauge& running_;
+    node_metrics node_;
 };
 
 } // namespace jujubetide
--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -17,25 +17,6 @@
 constexpr micros sweep_period{5'000'000};
 constexpr millis drain_poll{20};
 
-/// Statuses that the HTTP library sets itself become problems too.
-void explain_error(const httplib::Request& /*request*/, httplib::Response& response) {
-    if (!response.body.empty()) {
-        return;
-    }
-    switch (response.status) {
-    case 400:
-        return set_problem(response, make_problem(400, "bad_request", "not a whole HTTP request"));
-    case 404:
-        return set_problem(response, make_problem(404, "unknown_path", "no such path"));
-    case 408:
-        return set_problem(response, make_problem(408, "slow_request", "sent too slowly"));
-    case 413:
-        return set_problem(response, make_problem(413, "body_too_large", "the body is too large"));
-    default:
-        return set_problem(response, make_problem(response.status, "error", "not answered"));
-    }
-}
-
 } // namespace
 
 absl::StatusOr<std::unique_ptr<entry_server>> entry_server::make(const entry_parts& parts,
@@ -104,7 +85,6 @@
 }
 
 void entry_server::add_routes(httplib::Server& routes) {
-    routes.set_error_handler(httplib::Server::Handler(explain_error));
     add_service_routes(routes);
     add_state_routes(routes);
 }
@@ -155,7 +135,8 @@
 }
 
 bool entry_server::has_settings() const {
-    return settings_ready_ && parts_.boards.settings.current() != nullptr;
+    const snapshot_ptr settings = parts_.boards.settings.current();
+    return settings_ready_ && settings != nullptr && !settings->services().empty();
 }
 
 std::optional<caller_context> entry_server::accept(const httplib::Request& request,
@@ -224,14 +205,8 @@
 }
 
 std::string entry_server::metrics_text() {
-    const snapshot_ptr settings = parts_.boards.settings.current();
-    metrics_.set_settings_revision(settings == nullptr ? revision() : settings->at());
-    const std::vector<member> members = parts_.boards.members.all();
-    metrics_.set_members(static_cast<std::size_t>(
-        std::count_if(members.begin(), members.end(),
-                      [](const member& one) { return one.health != member_health::dead; })));
     metrics_.set_running(models_.requests().running_count());
-    return metrics_.text();
+    return metrics_.text(parts_.boards, parts_.peers);
 }
 
 } // namespace jujubetide
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -54,6 +54,8 @@
     void complete(completion_kind kind, const httplib::Request& request,
                   httplib::Response& response);
     void pass_through(const httplib::Request& request, httplib::Response& response);
+    /// Whether the node can serve: its settings are as new as those of others, and a new system's
+    /// settings, which declare no service, are not yet enough.
     [[nodiscard]] bool has_settings() const;
     /// Reads the caller's headers; on a refusal answers and returns nothing.
     std::optional<caller_context> accept(const httplib::Request& request,
--- a/src/peer/nghttp2_peer_link.cc
+++ b/src/peer/nghttp2_peer_link.cc
@@ -28,7 +28,7 @@
     return local_endpoint(loop_->listener()).value_or(endpoint{});
 }
 
-std::vector<peer_traffic> nghttp2_peer_link::traffic() const {
+std::vector<peer_traffic> nghttp2_peer_link::do_traffic() const {
     return loop_->counters().list();
 }
 
--- a/tests/control/settings_calls_test.cc
+++ b/tests/control/settings_calls_test.cc
@@ -1,4 +1,7 @@
 #include "control/started_control.h"
+#include "support/raw_call.h"
+
+#include "jujubetide/peer/nghttp2_peer_link.h"
 
 using namespace jujubetide;
 using nlohmann::json;
@@ -111,6 +114,52 @@
     CHECK(control.call("GET", "/v1/nothing", "ana-key").status == 404);
     CHECK(control.call("GET", "/v1/settings").status == 401);
     CHECK(control.call("GET", "/readyz").status == 200);
-    CHECK_THAT(control.call("GET", "/metrics").body,
-               Catch::Contains("jujubetide_settings_revision 1"));
+    const std::string metrics = control.call("GET", "/metrics").body;
+    CHECK_THAT(metrics, Catch::Contains("jujubetide_settings_revision 1"));
+    CHECK_THAT(metrics, Catch::Contains("jujubetide_operator_answers_total{method=\"POST\","
+                                        "status=\"400\"} 3"));
+    CHECK_THAT(metrics, Catch::Contains("jujubetide_operator_answer_seconds_count{method="));
+    CHECK_THAT(metrics, Catch::Contains("jujubetide_version_share{service=\"diagnosis\","
+                                        "version=\"v1\"} 1"));
+}
+
+TEST_CASE("what the operators' interface refuses itself is a problem") {
+    started_control control;
+    const endpoint address = control.server->address();
+    const std::string post = "POST /v1/settings/apply HTTP/1.1\r\nHost: x\r\n"
+                             "Authorization: Bearer bootstrap-key\r\n";
+    const std::vector<std::pair<std::string, std::string>> calls{
+        {"400", "nonsense\r\n\r\n"},
+        {"404", "GET /nothing HTTP/1.1\r\n\r\n"},
+        {"401", "GET /v1/settings HTTP/1.1\r\nAuthorization: Bearer nobody\r\n\r\n"},
+        {"413", post + "Content-Length: 1000000000\r\n\r\n"},
+        {"408", post + "Content-Length: 10\r\n\r\nhalf"},
+    };
+    for (const auto& [status, bytes] : calls) {
+        INFO(bytes);
+        const std::string answer = raw_call(address, bytes);
+        INFO(answer);
+        CHECK(answer.starts_with("HTTP/1.1 " + status + " "));
+        CHECK_THAT(answer, Catch::Contains("application/problem+json"));
+        CHECK_THAT(answer, Catch::Contains(R"("outcome":"not_run")"));
+    }
+}
+
+TEST_CASE("the metrics of a control process show the traffic between the processes") {
+    started_control control;
+    const auto link = nghttp2_peer_link::make({"127.0.0.1", 0}, node_id("control"));
+    REQUIRE(link.ok());
+    (*link)->set_handler(peer_message_kind::demand, [](const peer_message&) {
+        return absl::StatusOr<std::string>(std::string());
+    });
+    REQUIRE(
+        (*link)->call((*link)->listening(), peer_message_kind::demand, "x", millis{60'000}).ok());
+    const auto server = control_server::make(control.parts, {}, link->get());
+    REQUIRE(server.ok());
+    const auto metrics = http_call((*server)->address(), "GET", "/metrics", "", {});
+    REQUIRE(metrics.ok());
+    CHECK_THAT(metrics->body, Catch::Contains("jujubetide_control_messages_total{direction="
+                                              "\"in\",kind=\"demand\"} 1"));
+    CHECK_THAT(metrics->body, Catch::Contains("jujubetide_control_bytes_total{direction=\"out\","
+                                              "kind=\"demand\"}"));
 }
--- a/tests/entry/direct_peers.h
+++ b/tests/entry/direct_peers.h
@@ -54,6 +54,10 @@
     void do_set_handler(peer_message_kind kind, handler function) override {
         hub_.set(self_, kind, std::move(function));
     }
+    /// Calls have no bytes here; the counts are always these.
+    [[nodiscard]] std::vector<peer_traffic> do_traffic() const override {
+        return {{peer_message_kind::heartbeat, 120, 340, 3, 4}};
+    }
 
 private:
     peer_hub& hub_;
--- a/tests/entry/entry_server_test.cc
+++ b/tests/entry/entry_server_test.cc
@@ -1,4 +1,5 @@
 #include "entry_fixture.h"
+#include "support/raw_call.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -85,6 +86,73 @@
     CHECK(system.engines[0]->counters().executions_by_request.empty());
 }
 
+TEST_CASE("bad input to a plain service is refused at once as not run") {
+    entry_fixture system(1);
+    const std::string key = "Authorization: Bearer customer-key\r\n";
+    const std::string large = std::string((1U << 20U) + 1, ' ');
+    const auto head = [](const std::string& path, const std::string& headers, std::size_t length) {
+        return "POST " + path + " HTTP/1.1\r\nHost: x\r\n" + headers +
+               "Content-Length: " + std::to_string(length) + "\r\n\r\n";
+    };
+    const std::vector<std::pair<std::string, std::string>> calls{
+        {"401", head("/s/berth/x", "", 0)},
+        {"401", head("/s/berth/x", "Authorization: Bearer nobody\r\n", 0)},
+        {"404", head("/s/none/x", key, 0)},
+        {"404", head("/s/chat/x", key, 0)},
+        {"413", head("/s/berth/x", key, large.size()) + large},
+        {"413", head("/s/berth/x", key, 1'000'000'000)},
+        {"400", head("/s/berth/x", key + "Idempotency-Key: a b\r\n", 0)},
+        {"400", "POST\r\n\r\n"},
+    };
+    for (const auto& [status, bytes] : calls) {
+        INFO(bytes.substr(0, 200));
+        const std::string answer = raw_call(system.entries[0]->server().address(), bytes);
+        INFO(answer);
+        CHECK(answer.starts_with("HTTP/1.1 " + status + " "));
+        CHECK_THAT(answer, Catch::Contains("application/problem+json"));
+        CHECK_THAT(answer, Catch::Contains(R"("outcome":"not_run")"));
+    }
+    CHECK(system.plain[0]->executions() + system.plain[1]->executions() == 0);
+}
+
+TEST_CASE("a slow sender is refused once the read timeout has passed") {
+    entry_fixture system(1);
+    const std::string answer =
+        raw_call(system.entries[0]->server().address(),
+                 "POST /s/berth/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer customer-key\r\n"
+                 "Content-Length: 10\r\n\r\nhalf");
+    CHECK(answer.starts_with("HTTP/1.1 408 "));
+    CHECK_THAT(answer, Catch::Contains(R"("outcome":"not_run")"));
+    CHECK(system.plain[0]->executions() + system.plain[1]->executions() == 0);
+}
+
+TEST_CASE("an entry is ready once its settings declare a service") {
+    const auto platform = standin_platform::make({});
+    REQUIRE(platform.ok());
+    peer_hub hub;
+    test_entry entry(hub, 0, (*platform)->address());
+    const endpoint address = entry.server().address();
+    const auto ready = [&address] { return http_call(address, "GET", "/readyz", "", {})->status; };
+    CHECK(ready() == 503);
+    entry.server().set_settings_ready();
+    CHECK(ready() == 503);
+    settings_snapshot::parts parts;
+    entry.boards.settings.offer(settings_snapshot::make(parts));
+    CHECK(ready() == 503);
+    // A new system's callers are told to come back, not that their keys are wrong.
+    const auto early = http_call(address, "POST", "/s/berth/x", "", {},
+                                 {{"Authorization", "Bearer customer-key"}});
+    CHECK(early->status == 503);
+    CHECK(early->headers.contains("Retry-After"));
+    CHECK(nlohmann::json::parse(early->body)["code"] == "not_ready");
+    parts.at = revision(1);
+    service_settings service;
+    service.id = service_id("berth");
+    parts.services = {service};
+    entry.boards.settings.offer(settings_snapshot::make(parts));
+    CHECK(ready() == 200);
+}
+
 TEST_CASE("entries, readiness and metrics follow the node's state") {
     entry_fixture system(1, 3);
     const endpoint entry = system.entries[0]->server().address();
@@ -99,6 +167,16 @@
     const std::string metrics = http_call(entry, "GET", "/metrics", "", {})->body;
     CHECK_THAT(metrics, Catch::Contains("jujubetide_requests_total{outcome=\"whole\""));
     CHECK_THAT(metrics, Catch::Contains("jujubetide_settings_revision 1"));
+    CHECK_THAT(metrics, Catch::Contains("jujubetide_members 3"));
+    CHECK_THAT(metrics, Catch::Contains("jujubetide_answer_seconds_count{service=\"chat\"} 1"));
+    CHECK_THAT(metrics, Catch::Contains("jujubetide_attempts_total{service=\"chat\","
+                                        "version=\"v1\"} 1"));
+    CHECK_THAT(metrics, Catch::Contains("jujubetide_version_share{service=\"chat\","
+                                        "version=\"v1\"} 1"));
+    CHECK_THAT(metrics, Catch::Contains("jujubetide_control_bytes_total{direction=\"out\","
+                                        "kind=\"heartbeat\"} 120"));
+    CHECK_THAT(metrics, Catch::Contains("jujubetide_control_messages_total{direction=\"in\","
+                                        "kind=\"heartbeat\"} 4"));
 
     system.entries[0]->server().begin_drain();
     CHECK(http_call(entry, "GET", "/readyz", "", {})->status == 503);
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -1,3 +1,5 @@
+#include "support/raw_call.h"
+
 #include "jujubetide/http/http_client.h"
 #include "jujubetide/http/http_server.h"
 #include "jujubetide/http/problem.h"
@@ -7,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <arpa/inet.h>
+#include <mutex>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -67,3 +70,79 @@
     }
     CHECK(connected == burst);
 }
+
+TEST_CASE("what the server refuses itself is answered by a problem at once") {
+    struct refused {
+        std::string name;
+        std::string bytes;
+        std::string status;
+        std::string code;
+    };
+    http_server_options options;
+    options.max_body_bytes = 1'000;
+    options.read_timeout = millis{100};
+    const auto server = http_server::make(options, [](httplib::Server& routes) {
+        routes.Post("/take", [](const httplib::Request& request, httplib::Response& response) {
+            response.set_content(request.body, "text/plain");
+        });
+    });
+    REQUIRE(server.ok());
+    const std::string post = "POST /take HTTP/1.1\r\nHost: x\r\n";
+    const std::vector<refused> calls{
+        {"no HTTP", "nonsense\r\n\r\n", "400", "bad_request"},
+        {"unknown method", "BREW /take HTTP/1.1\r\n\r\n", "400", "bad_request"},
+        {"unknown path", "GET /nothing HTTP/1.1\r\n\r\n", "404", "unknown_path"},
+        {"a head that does not end", post, "408", "slow_request"},
+        {"a body that does not end", post + "Content-Length: 9\r\n\r\nhalf", "408", "slow_request"},
+        {"a large body", post + "Content-Length: 1001\r\n\r\n" + std::string(1'001, 'x'), "413",
+         "body_too_large"},
+        // None of the body ever comes: the answer may not wait for it.
+        {"a very large body", post + "Content-Length: 99999999999\r\n\r\n", "413",
+         "body_too_large"},
+        {"a large body of unstated length",
+         post + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n" + std::string(2'000, 'x') +
+             "\r\n0\r\n\r\n",
+         "411", "length_required"},
+        {"a compressed body", post + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nab", "415",
+         "encoded_body"},
+    };
+    for (const refused& call : calls) {
+        INFO(call.name);
+        const std::string answer = raw_call((*server)->address(), call.bytes);
+        INFO(answer);
+        CHECK(answer.starts_with("HTTP/1.1 " + call.status + " "));
+        CHECK_THAT(answer, Catch::Contains("application/problem+json"));
+        const std::size_t body = answer.find("\r\n\r\n");
+        REQUIRE(body != std::string::npos);
+        const auto problem = nlohmann::json::parse(answer.substr(body + 4), nullptr, false);
+        REQUIRE(problem.is_object());
+        CHECK(problem["code"] == call.code);
+        CHECK(problem["outcome"] == "not_run");
+    }
+    const auto taken =
+        http_call((*server)->address(), "POST", "/take", std::string(1'000, 'x'), {});
+    REQUIRE(taken.ok());
+    CHECK(taken->status == 200);
+    CHECK(taken->body.size() == 1'000);
+}
+
+TEST_CASE("each answer is told with its method and status") {
+    std::mutex mutex;
+    std::vector<std::string> told;
+    http_server_options options;
+    options.on_answer = [&](const std::string& method, int status, micros latency) {
+        const std::lock_guard lock(mutex);
+        told.push_back(method + " " + std::to_string(status));
+        CHECK(latency >= micros{0});
+    };
+    const auto server = http_server::make(options, [](httplib::Server& routes) {
+        routes.Get("/known", [](const httplib::Request&, httplib::Response& response) {
+            response.set_content("x", "text/plain");
+        });
+    });
+    REQUIRE(server.ok());
+    REQUIRE(http_call((*server)->address(), "GET", "/known", "", {}).ok());
+    REQUIRE(http_call((*server)->address(), "POST", "/known", "x", {}).ok());
+    (*server)->stop();
+    CHECK(told == std::vector<std::string>{"GET 200", "POST 404"});
+}
