--- a/src/backend/http_engine_client.cc
+++ b/src/backend/http_engine_client.cc
@@ -96,7 +96,7 @@
     timeouts.read = std::max(request.time_left, millis{0}) + read_margin;
     engine_result result;
     {
-        http_stream stream(engine, {"POST", "/v1/generate", write_request(request), {}}, timeouts);
+        http_stream stream(engine, "/v1/generate", write_request(request), timeouts);
         result = engine_run(stream, request, receiver).read();
     }
     if (result.outcome == engine_outcome::cancelled ||
--- a/src/backend/http_plain_client.cc
+++ b/src/backend/http_plain_client.cc
@@ -3,7 +3,7 @@
 // that may have run the call.
 #include "jujubetide/backend/http_plain_client.h"
 
-#include "backend/http_stream.h"
+#include "backend/plain_stream.h"
 
 #include "jujubetide/edge/boot_clock.h"
 #include "jujubetide/http/refusal.h"
@@ -16,13 +16,13 @@
 namespace jujubetide {
 namespace {
 
-http_request make_call(const plain_request& request) {
-    http_request call{request.method,
-                      request.target,
-                      request.body,
-                      {{"X-Request-Id", request.request.str()},
-                       {"X-Attempt-Id", request.attempt.str()},
-                       {"X-Deadline-Ms", absl::StrCat(request.time_left.count())}}};
+plain_http_request make_call(const plain_request& request) {
+    plain_http_request call{request.method,
+                            request.target,
+                            request.body,
+                            {{"X-Request-Id", request.request.str()},
+                             {"X-Attempt-Id", request.attempt.str()},
+                             {"X-Deadline-Ms", absl::StrCat(request.time_left.count())}}};
     if (!request.content_type.empty()) {
         call.headers["Content-Type"] = request.content_type;
     }
@@ -36,7 +36,7 @@
     return result;
 }
 
-plain_result make_result(const http_stream& stream, std::string body) {
+plain_result make_result(const plain_stream& stream, std::string body) {
     const absl::Status status = stream.result();
     if (!status.ok()) {
         return make_failure(absl::IsUnavailable(status) ? plain_outcome::not_run
@@ -63,10 +63,10 @@
     // Shorter than the whole, so that a connection that failed is told apart from a late answer.
     const millis connect = std::max(std::min(connect_timeout_, request.time_left / 2), millis{1});
     const http_timeouts timeouts{connect, request.time_left, request.time_left};
-    http_stream stream(server, make_call(request), timeouts);
+    plain_stream stream(server, make_call(request), timeouts);
     std::string body;
     while (true) {
-        const http_stream::progress seen = stream.wait(to_millis(end - time.now()));
+        const plain_stream::progress seen = stream.wait(to_millis(end - time.now()));
         body += seen.bytes;
         if (body.size() > request.max_answer_bytes) {
             plain_result result = make_failure(
--- a/src/backend/http_stream.cc
+++ b/src/backend/http_stream.cc
@@ -15,10 +15,10 @@
 
 } // namespace
 
-http_stream::http_stream(const endpoint& server, http_request request,
+http_stream::http_stream(const endpoint& server, const std::string& target, std::string body,
                          const http_timeouts& timeouts)
     : client_(make_http_client(server, timeouts)) {
-    thread_ = std::thread([this, sent = std::move(request)]() mutable { run(std::move(sent)); });
+    thread_ = std::thread([this, target, text = std::move(body)] { run(target, text); });
 }
 
 http_stream::~http_stream() {
@@ -55,26 +55,15 @@
     return result_;
 }
 
-std::string http_stream::content_type() const {
-    const std::lock_guard lock(mutex_);
-    return content_type_;
-}
-
-void http_stream::run(http_request sent) {
+void http_stream::run(const std::string& target, std::string body) {
     httplib::Request request;
-    request.method = std::move(sent.method);
-    request.path = std::move(sent.target);
-    request.body = std::move(sent.body);
-    for (const auto& [name, value] : sent.headers) {
-        request.set_header(name, value);
-    }
-    if (!request.body.empty() && !request.has_header("Content-Type")) {
-        request.set_header("Content-Type", "application/json");
-    }
+    request.method = "POST";
+    request.path = target;
+    request.body = std::move(body);
+    request.set_header("Content-Type", "application/json");
     request.response_handler = [this](const httplib::Response& response) {
         const std::lock_guard lock(mutex_);
         status_ = response.status;
-        content_type_ = response.get_header_value("Content-Type");
         return !stopping_;
     };
     request.content_receiver = [this](const char* data, std::size_t size, std::uint64_t,
--- a/src/backend/http_stream.h
+++ b/src/backend/http_stream.h
@@ -4,7 +4,6 @@
 #include "jujubetide/http/http_client.h"
 
 #include <condition_variable>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -12,15 +11,7 @@
 
 namespace jujubetide {
 
-/// What is sent to a server.
-struct http_request {
-    std::string method = "POST";
-    std::string target;
-    std::string body;
-    std::map<std::string, std::string> headers;
-};
-
-/// A call whose answer is read piecewise. The connection has a thread of its own, so that the
+/// A POST whose answer is read piecewise. The connection has a thread of its own, so that the
 /// caller can wait for bytes with a limit and stop at any time.
 class http_stream {
 public:
@@ -30,7 +21,8 @@
         bool finished = false;
     };
 
-    http_stream(const endpoint& server, http_request request, const http_timeouts& timeouts);
+    http_stream(const endpoint& server, const std::string& target, std::string body,
+                const http_timeouts& timeouts);
     /// Closes the connection and waits for the thread.
     ~http_stream();
     http_stream(const http_stream&) = delete;
@@ -40,12 +32,11 @@
     progress wait(millis limit);
     /// The answer's status; 0 while none came.
     [[nodiscard]] int status() const;
-    [[nodiscard]] std::string content_type() const;
     /// OK when the answer ended in good form; meaningful once finished. Errors as for `to_status`.
     [[nodiscard]] absl::Status result() const;
 
 private:
-    void run(http_request sent);
+    void run(const std::string& target, std::string body);
     bool receive(const char* data, std::size_t size);
 
     std::unique_ptr<httplib::Client> client_;
@@ -53,7 +44,6 @@
     std::condition_variable changed_;
     std::string bytes_;
     int status_ = 0;
-    std::string content_type_;
     bool stopping_ = false;
     bool finished_ = false;
     absl::Status result_;
