--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -109,7 +109,8 @@
 
 void serve_operators(const process_settings& settings, control_process& process,
                      control_server& server) {
-    const table_poller poller(process.parts, process.random, settings.settings_poll);
+    const table_poller poller(process.parts, process.timers, process.random,
+                              settings.settings_poll);
     process.log.write(control_listening, {{"address", server.address().str()}});
     std::cout << "listening " << server.address().str() << std::endl;
 
@@ -131,7 +132,7 @@
     }
     settings.peer_listen = (*link)->listening();
     control_process process(settings);
-    const auto server = control_server::make(process.parts, make_options(settings));
+    const auto server = control_server::make(process.parts, make_options(settings), link->get());
     if (!server.ok()) {
         return fail(server.status());
     }
