Carry the fleet's plan out against the cloud under a lease

Cause: the plan and its steps were decided by nobody in a running system.

Change: fleet_runner in every control process, under the lease "fleet".

The test of docs/SETTINGS.md covers the three new kinds of fields too.

Left: backend servers of started hosts are not declared by the system; a holder suspended between check and start for longer than lease and longest order can leave a host without a row; no run through separate processes.

--- a/include/jujubetide/settings/settings_snapshot.h
+++ b/include/jujubetide/settings/settings_snapshot.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -83,6 +84,36 @@
     std::vector<std::string> subtrees;
 };
 
+/// A machine class that the fleet may have.
+struct fleet_class_settings {
+    host_class_id id;
+    /// Work that a fully used host does in a second, in the unit of the demands.
+    double work_rate = 0.0;
+};
+
+/// Work that the fleet must carry for a service.
+struct fleet_demand_settings {
+    service_id service;
+    /// Work that arrives in a second.
+    double work_rate = 0.0;
+    /// The part of its capacity up to which the service keeps its latency target.
+    double max_utilisation = 0.8;
+};
+
+/// How the cloud's hosts are planned.
+struct fleet_settings {
+    std::vector<fleet_class_settings> classes;
+    std::vector<fleet_demand_settings> demands;
+    /// Hosts that may load weights at the same time.
+    std::size_t weight_loads_at_once = 4;
+    /// From the order to start a host until it serves.
+    millis start_time{240'000};
+    /// Time within which a change to a cheaper host must pay for its start.
+    millis payback{1'800'000};
+    /// How long a draining host is waited for before it is stopped.
+    millis drain_timeout{600'000};
+};
+
 /// Whether the path lies under one of the operator's subtrees.
 bool covers(const operator_settings& person, const std::string& path);
 
@@ -97,6 +128,8 @@
         std::vector<backend_server_settings> backend_servers;
         std::vector<customer_settings> customers;
         std::vector<operator_settings> operators;
+        /// Absent: the fleet is not planned.
+        std::optional<fleet_settings> fleet;
         absl::flat_hash_map<std::string, std::string> documents;
     };
 
@@ -114,6 +147,7 @@
     [[nodiscard]] const std::vector<operator_settings>& operators() const {
         return parts_.operators;
     }
+    [[nodiscard]] const std::optional<fleet_settings>& fleet() const { return parts_.fleet; }
     [[nodiscard]] const absl::flat_hash_map<std::string, std::string>& documents() const {
         return parts_.documents;
     }
--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -1,6 +1,7 @@
 // A control process: the operators' interface and, under leases, the system's controllers.
 #include "control/control_events.h"
 #include "control/control_server.h"
+#include "control/fleet_runner.h"
 #include "control/move_runner.h"
 #include "control/own_facts.h"
 #include "control/table_poller.h"
@@ -13,6 +14,7 @@
 #include "jujubetide/edge/shutdown_signal.h"
 #include "jujubetide/edge/system_random.h"
 #include "jujubetide/edge/thread_timer_service.h"
+#include "jujubetide/fleet/least_cost_planner.h"
 #include "jujubetide/lease/order_service.h"
 #include "jujubetide/membership/parsing_snapshot_builder.h"
 #include "jujubetide/peer/nghttp2_peer_link.h"
@@ -36,6 +38,8 @@
 constexpr std::size_t max_change_bytes = 8U << 20U;
 /// How often version moves are stepped.
 constexpr micros move_period{1'000'000};
+/// How often the fleet's hosts are stepped.
+constexpr micros fleet_period{5'000'000};
 
 /// What the process's parts share, in the order in which they depend on each other.
 struct control_process {
@@ -55,6 +59,7 @@
     settings_store store{platform_table};
     settings_history history{platform_table};
     move_store moves{platform_table};
+    fleet_store fleet{platform_table};
     own_facts facts{boards};
     std::string bootstrap_key_sha256;
     control_parts parts{time, log, boards, facts, store, history, moves, bootstrap_key_sha256};
@@ -94,7 +99,13 @@
                       options_of("moves", settings.node)),
           moves(settings.node, {process.boards, process.moves, process.facts, link, moves_lease,
                                 process.time, process.log}),
-          move_task(process.timers, move_period, [this] { moves.step(); }) {}
+          move_task(process.timers, move_period, [this] { moves.step(); }),
+          fleet_lease(process.platform_table, process.time, process.log,
+                      options_of("fleet", settings.node)),
+          activity(process.boards),
+          fleet({process.boards, process.fleet, platform_cloud, hosts, activity, process.facts,
+                 planner, fleet_lease, process.time, process.log}),
+          fleet_task(process.timers, fleet_period, [this] { fleet.step(); }) {}
 
     http_cloud platform_cloud;
     http_host_list hosts;
@@ -104,6 +115,11 @@
     lease_keeper moves_lease;
     move_runner moves;
     periodic_task move_task;
+    lease_keeper fleet_lease;
+    least_cost_planner planner;
+    reported_fleet_activity activity;
+    fleet_runner fleet;
+    periodic_task fleet_task;
 };
 
 void serve_operators(const process_settings& settings, control_process& process,
--- a/src/settings/cross_checks.cc
+++ b/src/settings/cross_checks.cc
@@ -87,6 +87,22 @@
     }
 }
 
+void check_fleet(const fleet_settings& fleet, const service_teams& teams, findings& found) {
+    const std::string path = "/fleet/hosts";
+    uniqueness classes("the class", found);
+    for (const fleet_class_settings& each : fleet.classes) {
+        classes.add(each.id.str(), path, "classes");
+    }
+    uniqueness demands("the demand's service", found);
+    for (const fleet_demand_settings& each : fleet.demands) {
+        demands.add(each.service.str(), path, "demands");
+        if (!each.service.empty() && !teams.contains(each.service)) {
+            found.add({path, 0, "demands"},
+                      absl::StrCat("there is no service '", each.service.str(), "'"));
+        }
+    }
+}
+
 } // namespace
 
 void check_across_documents(const settings_snapshot::parts& parts, findings& found) {
@@ -94,6 +110,9 @@
     check_backend_servers(parts, teams, found);
     uniqueness keys("the key", found);
     check_customers(parts, teams, keys, found);
+    if (parts.fleet) {
+        check_fleet(*parts.fleet, teams, found);
+    }
     for (const operator_settings& person : parts.operators) {
         keys.add(person.key_sha256, absl::StrCat("/operators/", person.id.str()), "key_sha256");
     }
--- a/src/settings/document_path.cc
+++ b/src/settings/document_path.cc
@@ -32,6 +32,9 @@
     if (parts.size() == 3 && parts[1] == "operators") {
         return document_path{document_kind::operator_document, team_id{}, parts[2]};
     }
+    if (parts.size() == 3 && parts[1] == "fleet" && parts[2] == "hosts") {
+        return document_path{document_kind::fleet, team_id{}, parts[2]};
+    }
     if (parts.size() != 5 || parts[1] != "teams" || !is_safe_name(parts[2])) {
         return std::nullopt;
     }
--- a/src/settings/document_readers.cc
+++ b/src/settings/document_readers.cc
@@ -26,6 +26,12 @@
 constexpr double least_share = 0.001;
 constexpr double most_share = 1'000'000.0;
 constexpr std::size_t most_prefix_length = 256;
+/// Work a second.
+constexpr double least_work_rate = 1e-6;
+constexpr double most_work_rate = 1e12;
+constexpr double least_utilisation = 0.01;
+constexpr std::int64_t most_weight_loads = 1000;
+constexpr millis most_fleet_duration{86'400'000};
 
 void check_prefix(yaml_reader& reader, const std::string& prefix) {
     const bool well_formed = absl::StartsWith(prefix, "/") && prefix.size() <= most_prefix_length &&
@@ -143,6 +149,45 @@
     return server;
 }
 
+fleet_class_settings read_fleet_class(yaml_reader& reader) {
+    fleet_class_settings host_class;
+    reader.id("id", host_class.id, presence::required);
+    if (!reader.has("work_rate")) {
+        reader.add("work_rate", "is missing");
+    }
+    reader.real("work_rate", host_class.work_rate, least_work_rate, most_work_rate);
+    reader.end();
+    return host_class;
+}
+
+fleet_demand_settings read_fleet_demand(yaml_reader& reader) {
+    fleet_demand_settings demand;
+    reader.id("service", demand.service, presence::required);
+    if (!reader.has("work_rate")) {
+        reader.add("work_rate", "is missing");
+    }
+    reader.real("work_rate", demand.work_rate, 0.0, most_work_rate);
+    reader.real("max_utilisation", demand.max_utilisation, least_utilisation, 1.0);
+    reader.end();
+    return demand;
+}
+
+fleet_settings read_fleet(yaml_reader& reader) {
+    fleet_settings fleet;
+    for (yaml_reader& each : reader.maps("classes", presence::required)) {
+        fleet.classes.push_back(read_fleet_class(each));
+    }
+    for (yaml_reader& each : reader.maps("demands", presence::required)) {
+        fleet.demands.push_back(read_fleet_demand(each));
+    }
+    reader.whole("weight_loads_at_once", fleet.weight_loads_at_once, 1, most_weight_loads);
+    reader.duration("start_time_ms", fleet.start_time, millis{0}, most_fleet_duration);
+    reader.duration("payback_ms", fleet.payback, least_duration, most_fleet_duration);
+    reader.duration("drain_timeout_ms", fleet.drain_timeout, millis{0}, most_fleet_duration);
+    reader.end();
+    return fleet;
+}
+
 operator_settings read_operator(yaml_reader& reader, const document_path& path) {
     operator_settings person;
     person.id = operator_id(path.name);
--- a/src/settings/document_readers.h
+++ b/src/settings/document_readers.h
@@ -12,6 +12,10 @@
 customer_settings read_customer(yaml_reader& reader, const document_path& path);
 backend_server_settings read_backend_server(yaml_reader& reader, const document_path& path);
 operator_settings read_operator(yaml_reader& reader, const document_path& path);
+fleet_settings read_fleet(yaml_reader& reader);
+/// Reads one entry of the fleet's `classes` or `demands`.
+fleet_class_settings read_fleet_class(yaml_reader& reader);
+fleet_demand_settings read_fleet_demand(yaml_reader& reader);
 /// Reads one entry of a service's `routes`.
 route_settings read_route(yaml_reader& reader, service_kind kind);
 
--- a/src/settings/settings_fields.cc
+++ b/src/settings/settings_fields.cc
@@ -23,6 +23,12 @@
         read_backend_server(reader, nowhere);
     } else if (kind == "operator") {
         read_operator(reader, nowhere);
+    } else if (kind == "fleet") {
+        read_fleet(reader);
+    } else if (kind == "fleet class") {
+        read_fleet_class(reader);
+    } else if (kind == "fleet demand") {
+        read_fleet_demand(reader);
     } else if (kind == "process") {
         read_process(reader);
     }
--- a/src/settings/settings_parser.cc
+++ b/src/settings/settings_parser.cc
@@ -26,6 +26,9 @@
     case document_kind::operator_document:
         parts.operators.push_back(read_operator(reader, path));
         return;
+    case document_kind::fleet:
+        parts.fleet = read_fleet(reader);
+        return;
     }
 }
 
@@ -34,8 +37,8 @@
     const std::optional<document_path> parsed = parse_document_path(path);
     if (!parsed) {
         found.add({path, 0, ""}, "is not a settings path, such as /teams/TEAM/services/NAME, "
-                                 "/teams/TEAM/customers/NAME, /teams/TEAM/backends/NAME or "
-                                 "/operators/NAME");
+                                 "/teams/TEAM/customers/NAME, /teams/TEAM/backends/NAME, "
+                                 "/operators/NAME or /fleet/hosts");
         return;
     }
     const YAML::Node map = parse_yaml_map(text, path, found);
--- a/tests/settings/settings_page_test.cc
+++ b/tests/settings/settings_page_test.cc
@@ -31,8 +31,8 @@
 } // namespace
 
 TEST_CASE("docs/SETTINGS.md lists the fields that the parser knows, and no others") {
-    for (const char* kind :
-         {"service", "model route", "plain route", "customer", "backend", "operator", "process"}) {
+    for (const char* kind : {"service", "model route", "plain route", "customer", "backend",
+                             "operator", "fleet", "fleet class", "fleet demand", "process"}) {
         INFO(kind);
         CHECK_FALSE(fields_of(kind).empty());
         CHECK(listed_fields(kind) == fields_of(kind));
--- a/tests/settings/settings_parser_test.cc
+++ b/tests/settings/settings_parser_test.cc
@@ -123,3 +123,29 @@
                  "key_sha256: " + std::string(64, 'c') + "\nservices: [diagnosis]\n",
                  "team 'dunajsky' has no service 'diagnosis'");
 }
+
+TEST_CASE("the fleet's document is checked") {
+    const std::string path = "/fleet/hosts";
+    settings_documents documents = valid_documents();
+    documents[path] = "classes: [{id: small, work_rate: 8000}]\n"
+                      "demands: [{service: diagnosis, work_rate: 60000, max_utilisation: 0.7}]\n"
+                      "start_time_ms: 90000\n";
+    findings found;
+    const snapshot_ptr snapshot = parse_settings(documents, revision{1}, found);
+    REQUIRE(snapshot != nullptr);
+    REQUIRE(snapshot->fleet());
+    CHECK(snapshot->fleet()->classes.front().work_rate == 8000.0);
+    CHECK(snapshot->fleet()->demands.front().max_utilisation == 0.7);
+    CHECK(snapshot->fleet()->start_time == millis(90'000));
+
+    expect_fault(path, "classes: [{id: small, work_rate: 0}]\ndemands: []\n",
+                 "/fleet/hosts:1: classes[0].work_rate:");
+    expect_fault(path, "classes: [{id: small}]\ndemands: []\n", "work_rate: is missing");
+    expect_fault(path,
+                 "classes: [{id: small, work_rate: 1}, {id: small, work_rate: 2}]\ndemands: []\n",
+                 "the class is also that of");
+    expect_fault(path, "classes: []\ndemands: [{service: heating, work_rate: 1}]\n",
+                 "there is no service 'heating'");
+    expect_fault(path, "classes: []\ndemands: []\nhosts: 3\n", "hosts");
+    expect_fault("/fleet/other", "classes: []\ndemands: []\n", "is not a settings path");
+}
