Refuse a fleet demand of more than 10,000 hosts of a class

Cause: the planner's time and memory grow with the hosts of a service; a demand in the wrong unit, 1e12 against a class of 1e-6, would keep every control process that holds the lease busy without end.

Change: a finding across the document's fields.

--- a/src/settings/cross_checks.cc
+++ b/src/settings/cross_checks.cc
@@ -87,6 +87,19 @@
     }
 }
 
+/// The time and memory of a plan grow with the hosts of a service.
+void check_fleet_size(const fleet_settings& fleet, const fleet_demand_settings& demand,
+                      const std::string& path, findings& found) {
+    constexpr double most_hosts = 10'000.0;
+    for (const fleet_class_settings& each : fleet.classes) {
+        if (demand.work_rate > most_hosts * each.work_rate * demand.max_utilisation) {
+            found.add({path, 0, "demands"},
+                      absl::StrCat("the demand of '", demand.service.str(), "' needs more than ",
+                                   most_hosts, " hosts of class '", each.id.str(), "'"));
+        }
+    }
+}
+
 void check_fleet(const fleet_settings& fleet, const service_teams& teams, findings& found) {
     const std::string path = "/fleet/hosts";
     uniqueness classes("the class", found);
@@ -100,6 +113,7 @@
             found.add({path, 0, "demands"},
                       absl::StrCat("there is no service '", each.service.str(), "'"));
         }
+        check_fleet_size(fleet, each, path, found);
     }
 }
 
--- a/tests/settings/settings_parser_test.cc
+++ b/tests/settings/settings_parser_test.cc
@@ -146,6 +146,10 @@
                  "the class is also that of");
     expect_fault(path, "classes: []\ndemands: [{service: heating, work_rate: 1}]\n",
                  "there is no service 'heating'");
+    expect_fault(path,
+                 "classes: [{id: small, work_rate: 1}]\n"
+                 "demands: [{service: diagnosis, work_rate: 8001, max_utilisation: 0.8}]\n",
+                 "needs more than 10000 hosts of class 'small'");
     expect_fault(path, "classes: []\ndemands: []\nhosts: 3\n", "hosts");
     expect_fault("/fleet/other", "classes: []\ndemands: []\n", "is not a settings path");
 }
