--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -124,13 +124,10 @@
     const settings_poller settings_source(process.parts, process.random, settings.settings_poll,
                                           [&server] { server.set_settings_ready(); });
     const load_poller loads(process.parts, node.membership());
-<<<<<<< HEAD
     settings_watch in_force(process.boards.settings, process.log);
-=======
     demand_exchange demand(process.limits, node.membership(), process.time);
     const auto exchanges = process.timers.every(demand_exchange::period, demand_exchange::period,
                                                 [&demand] { demand.exchange(); });
->>>>>>> limits
     const auto watch = process.timers.every(watch_period, watch_period, [&] {
         in_force.look();
         if (node.settings_ready()) {
