Keep the share of a version under trial at a half until its move is done

Cause: the service is small, its first server alone takes 47 %; the fault (12 %) was not yet suspicious when the share went to 80 %, where a failure weighs at most ln(1/0.8) as evidence, and 4 % of the traffic went there before the test was sure. Ruled out: outages (none at that time), slow spread of the stop (0.0 s), the load split over servers. Change: the last step is 50 %. The new test case failed first: 6.44 % <= 5 %.

--- a/bench/moves_bench.cc
+++ b/bench/moves_bench.cc
@@ -20,17 +20,19 @@
     int taken_back = 0;
     double exposure_sum = 0.0;
     double exposure_max = 0.0;
+    std::uint64_t worst_seed = 0;
     int over_limit = 0;
     std::uint64_t sent_after_own_stop = 0;
     millis last_send_after_stop{0};
     std::uint64_t contradictions = 0;
 
-    void add(const move_result& result, double exposure_limit) {
+    void add(const move_result& result, double exposure_limit, std::uint64_t seed) {
         ++runs;
         done += result.end == move_state::done ? 1 : 0;
         done_by_due += result.done_by_due ? 1 : 0;
         taken_back += result.end == move_state::taken_back ? 1 : 0;
         exposure_sum += result.exposure;
+        worst_seed = result.exposure > exposure_max ? seed : worst_seed;
         exposure_max = std::max(exposure_max, result.exposure);
         over_limit += result.exposure > exposure_limit ? 1 : 0;
         sent_after_own_stop += result.sent_after_own_stop;
@@ -41,14 +43,15 @@
 
 void print(version_family family, ramp_policy policy, const family_summary& sum) {
     const std::string name(name_of(family));
-    std::printf("%-21s %-8s %5d %9.2f %9.2f %9.2f %9.3f %9.3f %6d %8llu %9.1f %6llu\n",
+    std::printf("%-21s %-8s %5d %9.2f %9.2f %9.2f %9.3f %9.3f %6d %8llu %9.1f %6llu %6llu\n",
                 name.c_str(), policy == ramp_policy::evidence ? "evidence" : "naive", sum.runs,
                 100.0 * sum.done / sum.runs, 100.0 * sum.done_by_due / sum.runs,
                 100.0 * sum.taken_back / sum.runs, 100.0 * sum.exposure_sum / sum.runs,
                 100.0 * sum.exposure_max, sum.over_limit,
                 static_cast<unsigned long long>(sum.sent_after_own_stop),
                 static_cast<double>(sum.last_send_after_stop.count()) / 1'000.0,
-                static_cast<unsigned long long>(sum.contradictions));
+                static_cast<unsigned long long>(sum.contradictions),
+                static_cast<unsigned long long>(sum.worst_seed));
     std::fflush(stdout);
 }
 
@@ -56,8 +59,8 @@
     const double exposure_limit = !is_bad(family) ? 1.0 : shows_at_once(family) ? 0.01 : 0.05;
     family_summary sum;
     for (int i = 0; i < runs; ++i) {
-        sum.add(simulate_move(family, policy, seed + static_cast<std::uint64_t>(i)),
-                exposure_limit);
+        const std::uint64_t each = seed + static_cast<std::uint64_t>(i);
+        sum.add(simulate_move(family, policy, each), exposure_limit, each);
     }
     print(family, policy, sum);
 }
@@ -70,9 +73,9 @@
                                 "number", command);
     TCLAP::SwitchArg no_naive("n", "no-naive", "leave the naive ramp out", command);
     command.parse(argc, argv);
-    std::printf("%-21s %-8s %5s %9s %9s %9s %9s %9s %6s %8s %9s %6s\n", "family", "ramp", "runs",
-                "done %", "by due %", "back %", "mean %", "max %", "over", "own stop", "stop s",
-                "contra");
+    std::printf("%-21s %-8s %5s %9s %9s %9s %9s %9s %6s %8s %9s %6s %6s\n", "family", "ramp",
+                "runs", "done %", "by due %", "back %", "mean %", "max %", "over", "own stop",
+                "stop s", "contra", "worst");
     const std::clock_t begin = std::clock();
     for (const version_family each : all_families) {
         if (family.getValue() >= 0 && static_cast<int>(each) != family.getValue()) {
--- a/src/moves/move_planner.cc
+++ b/src/moves/move_planner.cc
@@ -12,8 +12,10 @@
 
 constexpr double canary_share = 0.01;
 constexpr double second_share = 0.04;
-/// Leaves the old version enough requests to compare with.
-constexpr double last_share = 0.8;
+/// Leaves the old version enough requests to compare with: a failure of the new version weighs at
+/// most ln(1 / share) as evidence, while the traffic at risk grows with the share. At 0.8 a fault
+/// costs five times as many requests to find as at 0.5.
+constexpr double last_share = 0.5;
 constexpr double growth = 2.0;
 /// Part of the move's length that is kept for outages.
 constexpr double reserve = 0.25;
@@ -43,7 +45,7 @@
 
 std::vector<relative_step> ramp_shape(double server_share) {
     std::vector<relative_step> shape{{canary_share, least_canary, least_canary}};
-    const double full = std::clamp(server_share, canary_share, 0.5);
+    const double full = std::clamp(server_share, canary_share, last_share);
     if (full > second_share) {
         shape.push_back({second_share, second_length, least_step});
     }
@@ -54,7 +56,9 @@
         shape.push_back({share, std::max(later_exposure / share, least_step), least_step});
         share *= growth;
     }
-    shape.push_back({last_share, least_step, least_step});
+    if (full < last_share) {
+        shape.push_back({last_share, least_step, least_step});
+    }
     return shape;
 }
 
--- a/tests/moves/move_simulation_test.cc
+++ b/tests/moves/move_simulation_test.cc
@@ -52,6 +52,16 @@
     check_taken_back(version_family::leaks, 0.05);
 }
 
+TEST_CASE(
+    "simulation: a weak late fault of a small service is found while the old version is busy") {
+    // Its first server alone takes nearly half of the traffic and fails every eighth request later.
+    constexpr std::uint64_t small_service = 921;
+    const move_result result =
+        simulate_move(version_family::fails_after_requests, ramp_policy::evidence, small_service);
+    CHECK(result.end == move_state::taken_back);
+    CHECK(result.exposure <= 0.05);
+}
+
 TEST_CASE("simulation: an operator's take-back holds through table and control outages") {
     check_taken_back(version_family::operator_takes_back, 1.0);
 }
