--- a/include/jujubetide/moves/evidence_sender.h
+++ b/include/jujubetide/moves/evidence_sender.h
@@ -7,6 +7,8 @@
 
 #include <absl/status/status.h>
 
+#include <string>
+
 namespace jujubetide {
 
 /// An entry node's part of the exchange of evidence: reports to the control nodes and their
@@ -26,6 +28,8 @@
     void send();
     /// Takes the answer of the node that steers a move. InvalidArgument for any other message.
     absl::Status receive(const peer_message& message);
+    /// Answers a call of kind request_rate.
+    [[nodiscard]] std::string request_rate(const peer_message& message) const;
 
 private:
     dependencies parts_;
--- a/include/jujubetide/moves/trial_version_selector.h
+++ b/include/jujubetide/moves/trial_version_selector.h
@@ -6,6 +6,7 @@
 #include "jujubetide/membership/fact_publisher.h"
 #include "jujubetide/moves/move_evidence.h"
 #include "jujubetide/moves/move_tests.h"
+#include "jujubetide/moves/request_meter.h"
 #include "jujubetide/moves/version_selector.h"
 #include "jujubetide/settings/settings_snapshot.h"
 
@@ -45,6 +46,11 @@
     void confirm(const service_id& service, const move_id& move, sequence_number step,
                  time_point sent_at);
 
+    /// Requests of the service at this node in a second, attempts of retries counted too.
+    [[nodiscard]] double request_rate(const service_id& service) const {
+        return meter_.rate(service, parts_.time.now());
+    }
+
 protected:
     version_id do_select(const service_settings& service, const route_id& route,
                          const request_id& request) override;
@@ -78,6 +84,7 @@
 
     evidence_owner self_;
     dependencies parts_;
+    request_meter meter_;
     sharded_map<service_id, trial_state> trials_;
 };
 
--- a/include/jujubetide/peer/peer_link.h
+++ b/include/jujubetide/peer/peer_link.h
@@ -35,6 +35,8 @@
     request_lookup = 9,
     /// Outcome counts of a version move, one way, to the node that steers the move.
     move_evidence = 10,
+    /// A service's id, answered by its requests in a second at the node.
+    request_rate = 11,
 };
 
 struct peer_message {
--- a/src/control/control_parts.h
+++ b/src/control/control_parts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/move_store.h"
+#include "control/traffic_source.h"
 
 #include "jujubetide/base/clock.h"
 #include "jujubetide/base/log.h"
@@ -22,6 +23,7 @@
     settings_store& settings;
     settings_history& history;
     move_store& moves;
+    traffic_source& traffic;
     /// Hash of the key that may change settings while no operator is declared; empty for none.
     std::string bootstrap_key_sha256;
 };
--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -3,6 +3,7 @@
 #include "control/control_server.h"
 #include "control/move_runner.h"
 #include "control/own_facts.h"
+#include "control/peer_traffic_source.h"
 #include "control/table_poller.h"
 #include "settings/yaml_reader.h"
 
@@ -39,8 +40,8 @@
 
 /// What the process's parts share, in the order in which they depend on each other.
 struct control_process {
-    explicit control_process(const process_settings& settings)
-        : platform_table(settings.platform),
+    control_process(const process_settings& settings, peer_link& link)
+        : platform_table(settings.platform), traffic(boards.members, link),
           bootstrap_key_sha256(settings.bootstrap_operator_key_sha256) {}
 
     boot_clock time;
@@ -56,8 +57,10 @@
     settings_history history{platform_table};
     move_store moves{platform_table};
     own_facts facts{boards};
+    peer_traffic_source traffic;
     std::string bootstrap_key_sha256;
-    control_parts parts{time, log, boards, facts, store, history, moves, bootstrap_key_sha256};
+    control_parts parts{
+        time, log, boards, facts, store, history, moves, traffic, bootstrap_key_sha256};
 };
 
 http_server_options make_options(const process_settings& settings) {
@@ -129,7 +132,7 @@
         return fail(link.status());
     }
     settings.peer_listen = (*link)->listening();
-    control_process process(settings);
+    control_process process(settings, **link);
     const auto server = control_server::make(process.parts, make_options(settings));
     if (!server.ok()) {
         return fail(server.status());
--- a/src/control/move_handler.cc
+++ b/src/control/move_handler.cc
@@ -33,11 +33,14 @@
     return absl::StrCat("/teams/", service.team.str(), "/services/", service.id.str());
 }
 
-/// Reads a start request; the service's present version and the start are filled in later.
-version_move move_from_request(const std::string& text) {
-    const json body = json::parse(text);
+std::int64_t to_number(wall_time time) {
+    return time.time_since_epoch().count();
+}
+
+/// A plan needs no id.
+version_move move_from_request(const json& body) {
     version_move move;
-    move.id = move_id(body.at("id").get<std::string>());
+    move.id = move_id(body.value("id", ""));
     move.service = service_id(body.at("service").get<std::string>());
     move.to = version_id(body.at("to").get<std::string>());
     move.due = wall_time(millis(body.at("due_ms").get<std::int64_t>()));
@@ -58,6 +61,8 @@
 void move_handler::add_routes(httplib::Server& routes) {
     routes.Post("/v1/moves",
                 [this](const auto& request, auto& response) { start(request, response); });
+    routes.Post("/v1/moves/plan",
+                [this](const auto& request, auto& response) { plan(request, response); });
     routes.Get("/v1/moves",
                [this](const auto& request, auto& response) { list(request, response); });
     routes.Post(R"(/v1/moves/([A-Za-z0-9._-]+)/take_back)",
@@ -66,26 +71,74 @@
                [this](const auto& request, auto& response) { audit(request, response); });
 }
 
-void move_handler::start(const httplib::Request& request, httplib::Response& response) {
+std::optional<move_handler::asked_move>
+move_handler::read_asked(const httplib::Request& request, httplib::Response& response) const {
     const auto person = gate_.admit(request, response);
     if (!person) {
-        return;
+        return std::nullopt;
     }
-    version_move move;
-    move_actor actor{person->id.str(), "", parts_.time.wall_now()};
+    asked_move asked;
+    asked.actor = {person->id.str(), "", parts_.time.wall_now()};
+    asked.settings = parts_.boards.settings.current();
     try {
-        move = move_from_request(request.body);
-        actor.comment = json::parse(request.body).value("comment", "");
+        const json body = json::parse(request.body);
+        asked.move = move_from_request(body);
+        asked.actor.comment = body.value("comment", "");
+        asked.anyway = body.value("anyway", false);
     } catch (const json::exception& error) {
-        return set_bad_request(response, error.what());
+        set_bad_request(response, error.what());
+        return std::nullopt;
     }
-    const snapshot_ptr settings = parts_.boards.settings.current();
-    const service_settings* service = visible_service(*settings, *person, move.service, response);
+    const service_settings* service =
+        visible_service(*asked.settings, *person, asked.move.service, response);
     if (service == nullptr) {
+        return std::nullopt;
+    }
+    asked.move.from = service->version;
+    asked.move.start = asked.actor.at;
+    return asked;
+}
+
+void move_handler::plan(const httplib::Request& request, httplib::Response& response) {
+    const auto asked = read_asked(request, response);
+    if (!asked) {
         return;
     }
-    move.from = service->version;
-    move.start = actor.at;
+    const absl::Status possible = check_start(asked->move, *asked->settings, std::nullopt);
+    if (!possible.ok()) {
+        return set_error(response, possible);
+    }
+    const double rate = parts_.traffic.request_rate(asked->move.service);
+    const move_plan plan = plan_of(asked->move, parts_.boards, rate);
+    const absl::Status met = check_plan(asked->move, plan, rate);
+    json steps = json::array();
+    for (const move_plan_step& step : plan.steps) {
+        steps.push_back({{"share", step.share}, {"at_ms", to_number(step.planned_at)}});
+    }
+    json answer{{"service", asked->move.service.str()},
+                {"from", asked->move.from.str()},
+                {"to", asked->move.to.str()},
+                {"due_ms", to_number(asked->move.due)},
+                {"feasible", plan.feasible},
+                {"detail", std::string(met.message())},
+                {"request_rate", rate},
+                {"planned_end_ms", to_number(plan.planned_end)},
+                {"steps", steps}};
+    if (rate > 0.0) {
+        answer["earliest_due_ms"] = to_number(plan.earliest_due);
+    }
+    set_json(response, answer);
+}
+
+void move_handler::start(const httplib::Request& request, httplib::Response& response) {
+    const auto asked = read_asked(request, response);
+    if (!asked) {
+        return;
+    }
+    const version_move& move = asked->move;
+    if (move.id.empty()) {
+        return set_bad_request(response, "the move has no id");
+    }
     const auto previous = parts_.moves.find(move.service);
     if (!previous.ok()) {
         return set_error(response, previous.status());
@@ -93,10 +146,14 @@
     if (*previous && (*previous)->move.id == move.id) {
         return set_json(response, to_json((*previous)->move));
     }
-    absl::Status status =
-        check_start(move, *settings, *previous ? std::optional((*previous)->move) : std::nullopt);
+    absl::Status status = check_start(move, *asked->settings,
+                                      *previous ? std::optional((*previous)->move) : std::nullopt);
+    if (status.ok() && !asked->anyway) {
+        const double rate = parts_.traffic.request_rate(move.service);
+        status = check_plan(move, plan_of(move, parts_.boards, rate), rate);
+    }
     if (status.ok()) {
-        status = parts_.moves.start(move, actor);
+        status = parts_.moves.start(move, asked->actor);
     }
     if (!status.ok()) {
         return set_error(response, status);
@@ -105,7 +162,7 @@
     parts_.log.write(move_started, {{"move", move.id.str()},
                                     {"service", move.service.str()},
                                     {"to", move.to.str()},
-                                    {"operator", person->id.str()}});
+                                    {"operator", asked->actor.name}});
     set_json(response, to_json(move), 201);
 }
 
--- a/src/control/move_handler.h
+++ b/src/control/move_handler.h
@@ -19,9 +19,21 @@
 
 private:
     void start(const httplib::Request& request, httplib::Response& response);
+    void plan(const httplib::Request& request, httplib::Response& response);
     void list(const httplib::Request& request, httplib::Response& response);
     void take_back(const httplib::Request& request, httplib::Response& response);
     void audit(const httplib::Request& request, httplib::Response& response);
+    /// A new move as a caller asks for it, from now on and from the service's present version.
+    struct asked_move {
+        version_move move;
+        move_actor actor;
+        /// Whether to start it also where its due time cannot be met.
+        bool anyway = false;
+        snapshot_ptr settings;
+    };
+    /// Reads a call that names a new move; where it is refused, fills in the refusal.
+    std::optional<asked_move> read_asked(const httplib::Request& request,
+                                         httplib::Response& response) const;
     /// The service with the id, if the caller may see it; otherwise fills in the refusal.
     const service_settings* visible_service(const settings_snapshot& settings,
                                             const operator_settings& person,
--- a/src/control/move_runner.cc
+++ b/src/control/move_runner.cc
@@ -2,6 +2,7 @@
 
 #include "control/control_events.h"
 #include "control/move_codec.h"
+#include "control/move_settings.h"
 
 #include "jujubetide/moves/move_evidence_codec.h"
 
@@ -117,31 +118,11 @@
 move_controller& move_runner::controller_of(const version_move& move) {
     auto& controller = controllers_[move.service];
     if (!controller || controller->move() != move.id) {
-        controller = std::make_unique<move_controller>(move, settings_for(move));
+        controller = std::make_unique<move_controller>(move, move_settings_for(parts_.board, move));
     }
     return *controller;
 }
 
-move_controller_settings move_runner::settings_for(const version_move& move) const {
-    move_controller_settings made;
-    const snapshot_ptr settings = parts_.board.settings.current();
-    const service_settings* service = settings ? settings->find_service(move.service) : nullptr;
-    if (service == nullptr) {
-        return made;
-    }
-    made.routes = std::max<std::size_t>(service->routes.size(), 1);
-    double running = 0.0;
-    double max_running = 1.0;
-    for (const backend_server_settings* server : settings->servers_of(move.service)) {
-        running += parts_.board.backends.state(server->id).load.running;
-        if (server->version == move.to) {
-            max_running = static_cast<double>(server->max_running);
-        }
-    }
-    made.server_share = full_server_share(running, max_running);
-    return made;
-}
-
 std::vector<node_id> move_runner::live_entries() const {
     std::vector<node_id> entries;
     for (const member& node : parts_.board.members.all()) {
--- a/src/control/move_runner.h
+++ b/src/control/move_runner.h
@@ -51,7 +51,6 @@
     void publish_stop(const version_move& move, const std::string& evidence);
     absl::Status write(const stored_move& stored, const version_move& after);
     [[nodiscard]] move_controller& controller_of(const version_move& move);
-    [[nodiscard]] move_controller_settings settings_for(const version_move& move) const;
     [[nodiscard]] std::vector<node_id> live_entries() const;
 
     node_id self_;
--- a/src/ctl/run_ctl.cc
+++ b/src/ctl/run_ctl.cc
@@ -18,7 +18,7 @@
     command_function run;
 };
 
-constexpr std::array<command_entry, 10> commands{{
+constexpr std::array<command_entry, 11> commands{{
     {"check", "check DIR                          check a directory of settings; no server needed",
      run_check},
     {"plan", "plan DIR                           show what an apply would change", run_plan},
@@ -30,6 +30,8 @@
      run_audit},
     {"status", "status                             where settings are in force, services, backends",
      run_status},
+    {"move plan", "move plan SERVICE --to V --by T    show whether a move can be done in time",
+     run_move_plan},
     {"move start", "move start SERVICE --to V --by T   move traffic to another version",
      run_move_start},
     {"move status", "move status                        show version moves", run_move_status},
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -176,6 +176,10 @@
                              }
                              return std::string();
                          });
+    (*link)->set_handler(peer_message_kind::request_rate,
+                         [&process](const peer_message& message) -> absl::StatusOr<std::string> {
+                             return process.evidence.request_rate(message);
+                         });
     (*node)->start();
     const int code = serve_callers(settings, process, **server, **node);
     (*link)->stop();
--- a/src/moves/evidence_sender.cc
+++ b/src/moves/evidence_sender.cc
@@ -2,6 +2,8 @@
 
 #include "jujubetide/moves/move_evidence_codec.h"
 
+#include <absl/strings/str_cat.h>
+
 // Reports go to every control node that is not known to be dead: there are few, and only the holder
 // of the moves' lease answers, so that no node has to know who that is.
 
@@ -32,4 +34,8 @@
     return absl::OkStatus();
 }
 
+std::string evidence_sender::request_rate(const peer_message& message) const {
+    return absl::StrCat(parts_.selector.request_rate(service_id(message.body)));
+}
+
 } // namespace jujubetide
--- a/src/moves/trial_version_selector.cc
+++ b/src/moves/trial_version_selector.cc
@@ -48,6 +48,7 @@
 
 version_id trial_version_selector::do_select(const service_settings& service,
                                              const route_id& /*route*/, const request_id& request) {
+    meter_.count(service.id, parts_.time.now());
     const auto move = parts_.board.moves.of_service(service.id);
     if (!move || service.version != move->from) {
         return service.version;
--- a/tests/control/started_control.h
+++ b/tests/control/started_control.h
@@ -13,10 +13,20 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <string>
 
 namespace jujubetide {
 
+/// Traffic that the test sets.
+class fixed_traffic final : public traffic_source {
+public:
+    std::atomic<double> rate{100.0};
+
+protected:
+    double do_request_rate(const service_id& /*service*/) override { return rate; }
+};
+
 /// A control process's operators' interface over a table in memory, in this process.
 class started_control {
 public:
@@ -52,8 +62,9 @@
     settings_store store{rows};
     settings_history history{rows};
     move_store moves{rows};
-    control_parts parts{time,  log,     boards, facts,
-                        store, history, moves,  sha256_hex("bootstrap-key")};
+    fixed_traffic traffic;
+    control_parts parts{
+        time, log, boards, facts, store, history, moves, traffic, sha256_hex("bootstrap-key")};
     std::unique_ptr<control_server> server;
 };
 
--- a/tests/ctl/ctl_test.cc
+++ b/tests/ctl/ctl_test.cc
@@ -191,6 +191,36 @@
               .code == exit_code::bad_input);
 }
 
+TEST_CASE("a move that cannot be done in time is told beforehand and started only when told so") {
+    applied_settings applied;
+    const ctl_arguments soon{"diagnosis", "--to", "v2", "--by", "+10m"};
+    const auto call = [&](ctl_arguments command, const ctl_arguments& more = {}) {
+        command.insert(command.end(), soon.begin(), soon.end());
+        command.insert(command.end(), more.begin(), more.end());
+        return applied.call(command, "bela-key");
+    };
+    CHECK(call({"move", "plan"}).code == exit_code::ok);
+    // 20,000 requests take 2,000 s.
+    applied.control.traffic.rate = 10.0;
+    const ctl_run planned = call({"move", "plan"}, {"--output", "json"});
+    CHECK(planned.code == exit_code::conflict);
+    const json plan = json::parse(planned.out);
+    CHECK(plan["feasible"] == false);
+    CHECK(plan["steps"].size() >= 3);
+    const auto refused = call({"move", "start"}, {"--move-id", "m1"});
+    CHECK(refused.code == exit_code::conflict);
+    const std::string told =
+        format_civil_time(wall_time(millis(plan["earliest_due_ms"].get<std::int64_t>())));
+    CHECK_THAT(refused.err, Catch::Contains("the earliest is " + told));
+    CHECK(
+        applied.call({"move", "plan", "diagnosis", "--to", "v2", "--by", told}, "bela-key").code ==
+        exit_code::ok);
+    applied.control.traffic.rate = 0.0;
+    CHECK_THAT(call({"move", "start"}).err, Catch::Contains("no traffic"));
+    CHECK(call({"move", "start"}, {"--move-id", "m1", "--anyway"}).code == exit_code::ok);
+    CHECK(call({"move", "start"}, {"--move-id", "m1"}).code == exit_code::ok);
+}
+
 TEST_CASE("times are read and printed in UTC") {
     const wall_time now{millis{1'764'800'000'000}};
     CHECK(*parse_civil_time("+90m", now) == now + std::chrono::minutes(90));
--- a/tests/system/system_fixture.cc
+++ b/tests/system/system_fixture.cc
@@ -74,18 +74,32 @@
 }
 
 system_fixture::~system_fixture() {
+    controls.clear();
     entries.clear();
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
 }
 
 void system_fixture::start_entry(std::size_t index) {
-    entries[index].reset();
-    const std::string file = absl::StrCat(folder_, "/entry-", index, ".yaml");
+    start_process(entries[index], "entry", index, peer_addresses_[index]);
+}
+
+void system_fixture::start_control(std::size_t index) {
+    while (controls.size() <= index) {
+        controls.emplace_back();
+        control_peer_addresses_.push_back(free_address());
+    }
+    start_process(controls[index], "control", index, control_peer_addresses_[index]);
+}
+
+void system_fixture::start_process(std::unique_ptr<child_process>& process, const std::string& role,
+                                   std::size_t index, const endpoint& peer_address) const {
+    process.reset();
+    const std::string file = absl::StrCat(folder_, "/", role, "-", index, ".yaml");
     std::ofstream text(file);
-    text << "node: entry-" << index << "\nhost: entry-host-" << index << "\nfailure_domain: d"
-         << index
-         << "\nregion: r\nlisten: 127.0.0.1:0\npeer_listen: " << peer_addresses_[index].str()
+    text << "node: " << role << "-" << index << "\nhost: " << role << "-host-" << index
+         << "\nfailure_domain: d" << index
+         << "\nregion: r\nlisten: 127.0.0.1:0\npeer_listen: " << peer_address.str()
          << "\nplatform: " << platform->listening()
          << "\nhttp_threads: 96\ndrain_timeout_ms: 8000\nsettings_poll_ms: "
             "1000\nentries_lifetime_ms: 1000\nseeds: [";
@@ -95,10 +109,10 @@
     text << "]\n";
     text.close();
     const char* const log = std::getenv("JUJUBETIDE_TEST_LOG");
-    entries[index] = std::make_unique<child_process>("jujubetide-entry",
-                                                     std::vector<std::string>{"--settings", file},
-                                                     log == nullptr ? "/dev/null" : log);
-    REQUIRE_FALSE(entries[index]->listening().empty());
+    process = std::make_unique<child_process>("jujubetide-" + role,
+                                              std::vector<std::string>{"--settings", file},
+                                              log == nullptr ? "/dev/null" : log);
+    REQUIRE_FALSE(process->listening().empty());
 }
 
 bool system_fixture::wait_ready(std::size_t index) const {
--- a/tests/system/system_fixture.h
+++ b/tests/system/system_fixture.h
@@ -27,6 +27,8 @@
 
     /// Starts entry number `index`, on a port of its own; the former process is ended.
     void start_entry(std::size_t index);
+    /// Starts control process number `index`; the former process is ended.
+    void start_control(std::size_t index);
     [[nodiscard]] bool wait_ready(std::size_t index) const;
     [[nodiscard]] endpoint entry(std::size_t index) const;
     standin_caller caller(std::size_t entry_index = 0) const { return {entry(entry_index), key}; }
@@ -39,12 +41,17 @@
     std::vector<std::unique_ptr<child_process>> engines;
     std::vector<std::unique_ptr<child_process>> plain;
     std::vector<std::unique_ptr<child_process>> entries;
+    std::vector<std::unique_ptr<child_process>> controls;
 
 private:
     void write_settings() const;
+    /// Writes the process's settings file and starts it; the former process is ended.
+    void start_process(std::unique_ptr<child_process>& process, const std::string& role,
+                       std::size_t index, const endpoint& peer_address) const;
 
     std::string folder_;
     std::vector<endpoint> peer_addresses_;
+    std::vector<endpoint> control_peer_addresses_;
 };
 
 } // namespace jujubetide
