Send a move's evidence to the lease's holder, and let only it scan the moves

Cause: each entry sent a report a second to every control process, and every control process scanned the move rows each second; at 390 nodes neither fits (docs/CAPACITY.md). The test of the reports failed first: 20 reports in 20 s went to the other process. The tests of the scans and of the message count were not shown to fail first. Left: a process without the lease scans each second while the table is down.

--- a/include/jujubetide/moves/evidence_sender.h
+++ b/include/jujubetide/moves/evidence_sender.h
@@ -11,8 +11,9 @@
 
 namespace jujubetide {
 
-/// An entry node's part of the exchange of evidence: reports to the control nodes and their
-/// answers. Thread-safe.
+/// An entry node's part of the exchange of evidence: reports to the control node that steers the
+/// move, and its answers. That node makes itself known to the entries that it does not hear from.
+/// Thread-safe.
 class evidence_sender {
 public:
     /// All must outlive the sender.
@@ -33,6 +34,8 @@
 
 private:
     dependencies parts_;
+    /// The node that steers each service's move, as it last told.
+    sharded_map<service_id, node_id> steering_;
 };
 
 } // namespace jujubetide
--- a/include/jujubetide/moves/move_controller.h
+++ b/include/jujubetide/moves/move_controller.h
@@ -52,6 +52,9 @@
     [[nodiscard]] move_action decide(const version_move& move, const std::vector<node_id>& entries,
                                      wall_time now);
 
+    /// The nodes among `entries` that have not reported since `since`.
+    [[nodiscard]] std::vector<node_id> silent(const std::vector<node_id>& entries,
+                                              wall_time since) const;
     [[nodiscard]] const move_plan& plan() const { return plan_; }
     [[nodiscard]] const move_id& move() const { return move_.id; }
 
--- a/include/jujubetide/moves/move_evidence.h
+++ b/include/jujubetide/moves/move_evidence.h
@@ -10,6 +10,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace jujubetide {
@@ -64,13 +65,16 @@
     time_point sent_at{};
 };
 
-/// What the node that steers a move answers to a report.
+/// What the node that steers a move tells an entry node: the answer to a report, or, without
+/// `sent_at`, that reports of the move are to go to `steering`.
 struct evidence_answer {
     service_id service;
     move_id move;
     /// The step of the move that the steering node knows.
     sequence_number step;
-    time_point sent_at{};
+    /// The report's; empty where there was none.
+    std::optional<time_point> sent_at;
+    node_id steering;
 };
 
 /// Counters of a move from many nodes. Merging is commutative, associative and idempotent, since
--- a/src/control/move_runner.cc
+++ b/src/control/move_runner.cc
@@ -18,22 +18,39 @@
 namespace {
 
 constexpr micros renewal_period{4'000'000};
+/// How often a process without the lease reads the moves, which it learns by flooded facts.
+constexpr micros reading_period{30'000'000};
+/// How long an entry that knows where to report may be silent.
+constexpr millis longest_silence{2'500};
 
 } // namespace
 
 void move_runner::step() {
     renew_lease();
-    if (auto read = parts_.moves.list(); read.ok()) {
-        rows_ = *std::move(read);
-    }
+    read_rows();
     for (const stored_move& stored : rows_) {
-        parts_.board.moves.merge(stored.move);
+        // Others read the table rarely; what is new here may be new to them.
+        if (parts_.board.moves.merge(stored.move)) {
+            parts_.facts.move(stored.move);
+        }
         if (!is_recorded_end(stored.move)) {
             step_move(stored);
         }
     }
 }
 
+void move_runner::read_rows() {
+    const time_point now = parts_.time.now();
+    const bool due = last_read_ == time_point{} || now - last_read_ >= reading_period;
+    if (!parts_.lease.held() && !due) {
+        return;
+    }
+    if (auto read = parts_.moves.list(); read.ok()) {
+        rows_ = *std::move(read);
+        last_read_ = now;
+    }
+}
+
 void move_runner::renew_lease() {
     const time_point now = parts_.time.now();
     if (last_renewal_ != time_point{} && now - last_renewal_ < renewal_period) {
@@ -59,9 +76,17 @@
         return;
     }
     move_action action;
+    std::vector<node_id> silent;
     {
         const std::lock_guard lock(mutex_);
-        action = controller_of(stored.move).decide(*known, live_entries(), parts_.time.wall_now());
+        const std::vector<node_id> entries = live_entries();
+        const wall_time now = parts_.time.wall_now();
+        move_controller& controller = controller_of(stored.move);
+        action = controller.decide(*known, entries, now);
+        silent = controller.silent(entries, now - longest_silence);
+    }
+    for (const node_id& entry : silent) {
+        tell_entry(entry, *known, std::nullopt);
     }
     apply(stored, action);
 }
@@ -150,13 +175,20 @@
         }
         controller->second->receive(*report, parts_.time.wall_now());
     }
-    const auto node = parts_.board.members.find(report->owner.node);
-    if (node && known->state != move_state::taken_back) {
-        const evidence_answer answer{report->service, report->move, known->step, report->sent_at};
-        return parts_.link.send(node->peer_address, peer_message_kind::move_evidence,
-                                encode_evidence_answer(answer));
+    if (known->state != move_state::taken_back) {
+        tell_entry(report->owner.node, *known, report->sent_at);
     }
     return absl::OkStatus();
 }
 
+void move_runner::tell_entry(const node_id& entry, const version_move& move,
+                             std::optional<time_point> sent_at) {
+    if (const auto node = parts_.board.members.find(entry)) {
+        // What is lost is told again.
+        (void)parts_.link.send(
+            node->peer_address, peer_message_kind::move_evidence,
+            encode_evidence_answer({move.service, move.id, move.step, sent_at, self_}));
+    }
+}
+
 } // namespace jujubetide
--- a/src/control/move_runner.h
+++ b/src/control/move_runner.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace jujubetide {
@@ -52,10 +53,15 @@
     absl::Status write(const stored_move& stored, const version_move& after);
     [[nodiscard]] move_controller& controller_of(const version_move& move);
     [[nodiscard]] std::vector<node_id> live_entries() const;
+    /// Tells an entry node that this node steers the move, or answers its report.
+    void tell_entry(const node_id& entry, const version_move& move,
+                    std::optional<time_point> sent_at);
+    void read_rows();
 
     node_id self_;
     dependencies parts_;
     time_point last_renewal_{};
+    time_point last_read_{};
     /// The rows as last read; used while the table is down.
     std::vector<stored_move> rows_;
     std::mutex mutex_;
--- a/src/moves/evidence_sender.cc
+++ b/src/moves/evidence_sender.cc
@@ -4,8 +4,8 @@
 
 #include <absl/strings/str_cat.h>
 
-// Reports go to every control node that is not known to be dead: there are few, and only the holder
-// of the moves' lease answers, so that no node has to know who that is.
+// Which control node steers changes with its lease. Each entry reports to the one that last told it
+// so; a new holder tells the entries that do not report to it.
 
 namespace jujubetide {
 
@@ -15,12 +15,12 @@
         if (!report) {
             continue;
         }
-        const std::string body = encode_evidence_report(*report);
-        for (const member& node : parts_.board.members.all()) {
-            if (node.role == node_role::control && node.health != member_health::dead) {
-                // A report that is lost is repeated by the next one.
-                (void)parts_.link.send(node.peer_address, peer_message_kind::move_evidence, body);
-            }
+        const auto steering = steering_.get(move.service);
+        const auto node = steering ? parts_.board.members.find(*steering) : std::nullopt;
+        if (node && node->health != member_health::dead) {
+            // A report that is lost is repeated by the next one.
+            (void)parts_.link.send(node->peer_address, peer_message_kind::move_evidence,
+                                   encode_evidence_report(*report));
         }
     }
 }
@@ -30,7 +30,10 @@
     if (!answer.ok()) {
         return answer.status();
     }
-    parts_.selector.confirm(answer->service, answer->move, answer->step, answer->sent_at);
+    steering_.update(answer->service, [&answer](node_id& node) { node = answer->steering; });
+    if (answer->sent_at) {
+        parts_.selector.confirm(answer->service, answer->move, answer->step, *answer->sent_at);
+    }
     return absl::OkStatus();
 }
 
--- a/src/moves/move_controller.cc
+++ b/src/moves/move_controller.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
 
 // A move ends once. Its end is what the table records, on the condition that the row has not
 // changed since the decision. A node's own take-back stops the traffic before that, and is not an
@@ -167,6 +168,16 @@
     });
 }
 
+std::vector<node_id> move_controller::silent(const std::vector<node_id>& entries,
+                                             wall_time since) const {
+    std::vector<node_id> list;
+    std::copy_if(entries.begin(), entries.end(), std::back_inserter(list), [&](const auto& entry) {
+        const auto found = nodes_.find(entry);
+        return found == nodes_.end() || found->second.received < since;
+    });
+    return list;
+}
+
 move_action move_controller::raise(const move_plan_step& step) const {
     move_action action{move_action::kind::raise, move_};
     const bool first = move_.state == move_state::planned;
--- a/src/moves/move_evidence_codec.cc
+++ b/src/moves/move_evidence_codec.cc
@@ -37,8 +37,10 @@
     std::string service;
     std::string move;
     std::uint64_t step = 0;
+    bool has_sent_at = false;
     std::int64_t sent_at_micros = 0;
-    MSGPACK_DEFINE(service, move, step, sent_at_micros)
+    std::string steering;
+    MSGPACK_DEFINE(service, move, step, has_sent_at, sent_at_micros, steering)
 };
 
 std::int64_t to_micros(time_point time) {
@@ -135,7 +137,9 @@
 std::string encode_evidence_answer(const evidence_answer& answer) {
     msgpack::sbuffer buffer;
     msgpack::pack(buffer, wire_answer{answer.service.str(), answer.move.str(), answer.step.value(),
-                                      to_micros(answer.sent_at)});
+                                      answer.sent_at.has_value(),
+                                      to_micros(answer.sent_at.value_or(time_point{})),
+                                      answer.steering.str()});
     return {buffer.data(), buffer.size()};
 }
 
@@ -144,11 +148,15 @@
     if (!wire.ok()) {
         return wire.status();
     }
-    if (wire->service.empty() || wire->move.empty()) {
+    if (wire->service.empty() || wire->move.empty() || wire->steering.empty()) {
         return absl::InvalidArgumentError("evidence answer is malformed");
     }
+    std::optional<time_point> sent_at;
+    if (wire->has_sent_at) {
+        sent_at = time_point(micros(wire->sent_at_micros));
+    }
     return evidence_answer{service_id(wire->service), move_id(wire->move),
-                           sequence_number(wire->step), time_point(micros(wire->sent_at_micros))};
+                           sequence_number(wire->step), sent_at, node_id(wire->steering)};
 }
 
 } // namespace jujubetide
--- a/tests/control/move_runner_test.cc
+++ b/tests/control/move_runner_test.cc
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <iostream>
 #include <map>
 
 namespace jujubetide {
@@ -17,9 +18,12 @@
 class direct_link final : public peer_link {
 public:
     std::map<endpoint, handler> handlers;
+    /// Messages sent, by address.
+    std::map<endpoint, int> sent;
 
 protected:
     absl::Status do_send(const endpoint& peer, peer_message_kind kind, std::string body) override {
+        ++sent[peer];
         const auto found = handlers.find(peer);
         if (found == handlers.end()) {
             return absl::UnavailableError("no such peer");
@@ -48,6 +52,13 @@
     move_runner runner{node_id("c1"),
                        {control_board, store, control_facts, link, lease, time, log}};
 
+    /// Another control process, which steers once the first one is gone; it shares the board.
+    member second_control = node("c2", node_role::control, 3);
+    lease_options second_options{lease_id("moves"), "c2/1"};
+    lease_keeper second_lease{rows, time, log, second_options};
+    move_runner second_runner{node_id("c2"),
+                              {control_board, store, control_facts, link, second_lease, time, log}};
+
     blackboard entry_board;
     own_facts entry_facts{entry_board};
     trial_version_selector selector{{node_id("n1"), incarnation(1)},
@@ -66,6 +77,12 @@
         link.handlers[control.peer_address] = [this](const peer_message& message) {
             return answered(runner.receive(message));
         };
+        for (blackboard* board : {&control_board, &entry_board}) {
+            board->members.merge(second_control);
+        }
+        link.handlers[second_control.peer_address] = [this](const peer_message& message) {
+            return answered(second_runner.receive(message));
+        };
         link.handlers[entry.peer_address] = [this](const peer_message& message) {
             return answered(sender.receive(message));
         };
@@ -126,6 +143,79 @@
     CHECK(moves.trial_requests() > 0);
 }
 
+TEST_CASE("evidence goes to the steering process only, and to the next one when that is gone") {
+    running_moves moves;
+    for (int i = 0; i < 20; ++i) {
+        moves.run_second();
+        moves.second_runner.step();
+    }
+    CHECK(moves.trial_requests() > 0);
+    CHECK(moves.link.sent[moves.second_control.peer_address] == 0);
+    const endpoint first{"127.0.0.1", 1};
+    CHECK(moves.link.sent[first] >= 15);
+
+    // The first process is gone; its lease ends and the second one goes on.
+    moves.link.handlers.erase(first);
+    const auto run_second_process = [&moves] {
+        moves.time.advance(micros(1'000'000));
+        moves.second_runner.step();
+        moves.sender.send();
+    };
+    for (int i = 0; i < 40; ++i) {
+        run_second_process();
+    }
+    CHECK(moves.trial_requests() > 0);
+    const int before = moves.link.sent[first];
+    for (int i = 0; i < 10; ++i) {
+        run_second_process();
+    }
+    CHECK(moves.link.sent[first] == before);
+}
+
+TEST_CASE("the messages of a move do not grow with the control processes") {
+    for (const int processes : {2, 50, 390}) {
+        running_moves moves;
+        for (int i = 3; i <= processes; ++i) {
+            const auto port = static_cast<std::uint16_t>(1'000 + i);
+            const std::string name = "c" + std::to_string(i);
+            moves.entry_board.members.merge(running_moves::node(name, node_role::control, port));
+        }
+        for (int i = 0; i < 10; ++i) {
+            moves.run_second();
+        }
+        moves.link.sent.clear();
+        constexpr int seconds = 60;
+        for (int i = 0; i < seconds; ++i) {
+            moves.run_second();
+        }
+        int messages = 0;
+        for (const auto& [address, count] : moves.link.sent) {
+            messages += count;
+        }
+        std::cout << processes << " control processes: " << messages << " messages of one entry in "
+                  << seconds << " s\n";
+        // A report and its answer each second.
+        CHECK(messages <= 2 * seconds);
+    }
+}
+
+TEST_CASE("a process without the lease reads the moves rarely and still knows them") {
+    running_moves moves;
+    REQUIRE(moves.lease.step().ok());
+    REQUIRE(moves.lease.held());
+    const std::size_t before = moves.rows.scans();
+    for (int i = 0; i < 60; ++i) {
+        moves.time.advance(micros(1'000'000));
+        if (i % 4 == 0) {
+            REQUIRE(moves.lease.step().ok());
+        }
+        moves.second_runner.step();
+    }
+    // Once at its start and each 30 s.
+    CHECK(moves.rows.scans() - before <= 3);
+    CHECK(moves.control_board.moves.of_service(moves.service.id)->id == moves.move.id);
+}
+
 TEST_CASE("a process without the lease neither raises a move nor permits its traffic") {
     running_moves moves;
     lease_options other = moves.options;
--- a/tests/moves/move_evidence_codec_test.cc
+++ b/tests/moves/move_evidence_codec_test.cc
@@ -38,11 +38,12 @@
 
 TEST_CASE("an evidence answer survives its encoding and a report is none") {
     const evidence_answer answer{service_id("s"), move_id("m1"), sequence_number(4),
-                                 time_point(micros(9))};
+                                 time_point(micros(9)), node_id("c1")};
     const auto read = decode_evidence_answer(encode_evidence_answer(answer));
     REQUIRE(read.ok());
     CHECK(read->step == sequence_number(4));
     CHECK(read->sent_at == time_point(micros(9)));
+    CHECK(read->steering == node_id("c1"));
     CHECK_FALSE(decode_evidence_answer(encode_evidence_report(sample_report())).ok());
 }
 
--- a/tests/support/fake_table.h
+++ b/tests/support/fake_table.h
@@ -37,6 +37,10 @@
         const std::lock_guard lock(mutex_);
         old_reads_ = count;
     }
+    [[nodiscard]] std::size_t scans() const {
+        const std::lock_guard lock(mutex_);
+        return scans_;
+    }
     [[nodiscard]] std::size_t commits() const {
         const std::lock_guard lock(mutex_);
         return commits_;
@@ -62,6 +66,7 @@
         if (down_) {
             return absl::UnavailableError("table is down");
         }
+        ++scans_;
         std::vector<table_row> list;
         for (const auto& [key, row] : readable()) {
             if (list.size() < limit && key.starts_with(prefix) && key > after) {
@@ -122,6 +127,7 @@
     int old_reads_ = 0;
     row_version version_;
     std::size_t commits_ = 0;
+    std::size_t scans_ = 0;
     bool down_ = false;
     bool lose_reply_ = false;
     bool lose_commit_ = false;
