--- a/tests/system/system_fixture.h
+++ b/tests/system/system_fixture.h
@@ -34,6 +34,8 @@
     /// What engines and plain services have executed, killed ones included, by prompt for
     /// engines, by booking and by request id for plain services.
     [[nodiscard]] std::map<std::string, int> executions() const;
+    /// Starts control process number `index`; the former process is ended.
+    void start_control(std::size_t index);
     [[nodiscard]] bool wait_ready(std::size_t index) const;
     [[nodiscard]] endpoint entry(std::size_t index) const;
     standin_caller caller(std::size_t entry_index = 0) const { return {entry(entry_index), key}; }
@@ -46,15 +48,20 @@
     std::vector<std::unique_ptr<child_process>> engines;
     std::vector<std::unique_ptr<child_process>> plain;
     std::vector<std::unique_ptr<child_process>> entries;
+    std::vector<std::unique_ptr<child_process>> controls;
 
 private:
     void write_settings() const;
     [[nodiscard]] std::string execution_log() const { return folder_ + "/executions"; }
+    /// Writes the process's settings file and starts it; the former process is ended.
+    void start_process(std::unique_ptr<child_process>& process, const std::string& role,
+                       std::size_t index, const endpoint& peer_address) const;
 
     std::string folder_;
     std::vector<endpoint> engine_addresses_;
     std::vector<endpoint> plain_addresses_;
     std::vector<endpoint> peer_addresses_;
+    std::vector<endpoint> control_peer_addresses_;
 };
 
 } // namespace jujubetide
