--- a/src/peer/node_metrics.cc
+++ b/src/peer/node_metrics.cc
@@ -38,6 +38,8 @@
         return "request_lookup";
     case peer_message_kind::move_evidence:
         return "move_evidence";
+    case peer_message_kind::request_rate:
+        return "request_rate";
     }
     return "unknown";
 }
