Start the benches' system in one place, and print what the entry uses

Cause: entry_bench held its own copy of bench_system, and the entry's processor time was read by hand. Change: one class for both benches; entry_bench prints processor time a piece, threads and resident memory of the entry.

--- a/bench/bench_system.cc
+++ b/bench/bench_system.cc
@@ -10,10 +10,40 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <thread>
 #include <unistd.h>
 
 namespace jujubetide {
+namespace {
+
+/// Reads the kernel's `stat` of a process; its fields are counted from 1 in the kernel's page.
+process_use use_of(pid_t process) {
+    constexpr int first_after_name = 3;
+    constexpr int user_ticks = 14;
+    constexpr int system_ticks = 15;
+    constexpr int thread_count = 20;
+    constexpr int resident_pages = 24;
+    std::ifstream file(absl::StrCat("/proc/", process, "/stat"));
+    std::string text;
+    std::getline(file, text);
+    std::istringstream rest(text.substr(text.rfind(')') + 1));
+    process_use use;
+    std::string field;
+    for (int number = first_after_name; rest >> field; ++number) {
+        if (number == user_ticks || number == system_ticks) {
+            use.processor_seconds += std::stod(field) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+        } else if (number == thread_count) {
+            use.threads = std::stoul(field);
+        } else if (number == resident_pages) {
+            use.resident_kb =
+                std::stoul(field) * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE)) / 1'024;
+        }
+    }
+    return use;
+}
+
+} // namespace
 
 bench_system::bench_system(const bench_system_options& options) : options_(options) {
     folder_ = (std::filesystem::temp_directory_path() / absl::StrCat("bench-system-", ::getpid()))
@@ -56,6 +86,10 @@
     return *parse_endpoint(engines_[number % engines_.size()]->listening());
 }
 
+process_use bench_system::entry_use(std::size_t number) const {
+    return use_of(entries_[number % entries_.size()]->pid());
+}
+
 absl::Status bench_system::write_settings() const {
     settings_change change;
     change.id = change_id("first");
--- a/bench/bench_system.h
+++ b/bench/bench_system.h
@@ -24,6 +24,13 @@
     std::size_t http_threads = 512;
 };
 
+/// What a process has used so far.
+struct process_use {
+    double processor_seconds = 0.0;
+    std::size_t threads = 0;
+    std::size_t resident_kb = 0;
+};
+
 /// The system as separate processes: the platform and model engines as stand-ins, each engine in a
 /// failure domain of its own, and entries before them. The service is called "chat".
 class bench_system {
@@ -39,6 +46,7 @@
     absl::Status start();
     [[nodiscard]] endpoint entry(std::size_t number) const;
     [[nodiscard]] endpoint engine(std::size_t number) const;
+    [[nodiscard]] process_use entry_use(std::size_t number) const;
     [[nodiscard]] std::size_t engine_count() const { return engines_.size(); }
 
 private:
--- a/bench/entry_bench.cc
+++ b/bench/entry_bench.cc
@@ -1,15 +1,12 @@
 // Measures what an entry adds: time to the first piece, pieces a second and processor time, with
 // many streams at once through one entry process, against direct calls to the same engine
 // stand-ins.
+#include "bench_system.h"
 #include "standins/standin_answer.h"
 #include "standins/standin_caller.h"
-#include "support/child_process.h"
 
 #include "jujubetide/backend/http_engine_client.h"
 #include "jujubetide/edge/thread_timer_service.h"
-#include "jujubetide/platform/http_table.h"
-#include "jujubetide/settings/settings_store.h"
-#include "jujubetide/settings/sha256.h"
 
 #include <absl/strings/str_cat.h>
 #include <tclap/CmdLine.h>
@@ -18,12 +15,8 @@
 #include <atomic>
 #include <chrono>
 #include <cstdio>
-#include <filesystem>
-#include <fstream>
-#include <memory>
 #include <mutex>
 #include <thread>
-#include <unistd.h>
 #include <vector>
 
 namespace jujubetide {
@@ -31,15 +24,14 @@
 
 using steady = std::chrono::steady_clock;
 
-constexpr const char* customer_key = "customer-key";
 constexpr std::chrono::milliseconds start_interval{5};
-constexpr const char* peer_address = "127.0.0.1:0";
+/// Of each engine: more than the streams, so that none waits for a place.
+constexpr unsigned max_running = 128;
 
 struct bench_options {
     std::size_t streams = 200;
     std::size_t requests = 2'000;
     std::uint32_t pieces = 50;
-    std::size_t engines = 4;
     int between_pieces_ms = 20;
 };
 
@@ -116,80 +108,6 @@
     std::uint32_t good_ = 0;
 };
 
-/// The system as separate processes with settings for one model service.
-class bench_system {
-public:
-    explicit bench_system(const bench_options& options) : options_(options) {
-        folder_ =
-            (std::filesystem::temp_directory_path() / absl::StrCat("entry-bench-", ::getpid()))
-                .string();
-        std::filesystem::create_directories(folder_);
-        platform_ = std::make_unique<child_process>("platform-standin", std::vector<std::string>{});
-        for (std::size_t i = 0; i < options.engines; ++i) {
-            engines_.push_back(std::make_unique<child_process>(
-                "engine-standin",
-                std::vector<std::string>{"--max-running", "128", "--between-pieces-ms",
-                                         std::to_string(options.between_pieces_ms)}));
-        }
-    }
-    ~bench_system() { std::filesystem::remove_all(folder_); }
-    bench_system(const bench_system&) = delete;
-    bench_system& operator=(const bench_system&) = delete;
-
-    absl::Status start() {
-        http_table rows(*parse_endpoint(platform_->listening()));
-        if (const auto applied = settings_store(rows).apply(settings()); !applied.ok()) {
-            return applied.status();
-        }
-        const std::string file = folder_ + "/entry.yaml";
-        std::ofstream(file) << "node: entry-1\nhost: host-1\nfailure_domain: d\nregion: r\n"
-                            << "listen: 127.0.0.1:0\npeer_listen: " << peer_address
-                            << "\nplatform: " << platform_->listening()
-                            << "\nhttp_threads: 512\nseeds: []\n";
-        entry_ = std::make_unique<child_process>("jujubetide-entry",
-                                                 std::vector<std::string>{"--settings", file});
-        if (entry_->listening().empty()) {
-            return absl::UnavailableError("the entry did not start");
-        }
-        for (int i = 0; i < 100; ++i) {
-            const auto answer = http_call(entry(), "GET", "/readyz", "", {});
-            if (answer.ok() && answer->status == 200) {
-                return absl::OkStatus();
-            }
-            std::this_thread::sleep_for(std::chrono::milliseconds(100));
-        }
-        return absl::UnavailableError("the entry is not ready");
-    }
-
-    [[nodiscard]] endpoint entry() const { return *parse_endpoint(entry_->listening()); }
-    [[nodiscard]] endpoint engine(std::size_t number) const {
-        return *parse_endpoint(engines_[number % engines_.size()]->listening());
-    }
-
-private:
-    [[nodiscard]] settings_change settings() const {
-        settings_change change;
-        change.id = change_id("first");
-        change.author = operator_id("bench");
-        change.edits["/teams/t/services/chat"] =
-            "kind: model\nversion: v1\nfirst_piece_target_ms: 2000\nroutes:\n  - id: chat\n";
-        change.edits["/teams/t/customers/c"] =
-            absl::StrCat("key_sha256: ", sha256_hex(customer_key), "\nservices: [chat]\n");
-        for (std::size_t i = 0; i < engines_.size(); ++i) {
-            change.edits[absl::StrCat("/teams/t/backends/chat-", i)] =
-                absl::StrCat("service: chat\nversion: v1\naddress: ", engines_[i]->listening(),
-                             "\nhost: h", i, "\nfailure_domain: d", i, "\nmax_running: 128\n");
-        }
-        return change;
-    }
-
-    bench_options options_;
-    std::string folder_;
-    std::unique_ptr<child_process> platform_;
-    std::vector<std::unique_ptr<child_process>> engines_;
-    std::unique_ptr<child_process> entry_;
-};
-
 void print(const char* name, const bench_result& result) {
     std::printf("%-8s %9.2f %9.2f %9.2f %11.0f %8llu %7.1f\n", name, result.quantile(0.5),
                 result.quantile(0.95), result.quantile(0.99),
@@ -199,7 +117,10 @@
 }
 
 int run_bench(const bench_options& options) {
-    bench_system system(options);
+    bench_system_options wanted;
+    wanted.max_running = max_running;
+    wanted.between_pieces_ms = options.between_pieces_ms;
+    bench_system system(wanted);
     if (const absl::Status started = system.start(); !started.ok()) {
         std::fprintf(stderr, "%s\n", std::string(started.message()).c_str());
         return 1;
@@ -218,8 +139,9 @@
         const engine_result ended = client.run(system.engine(number), request, receiver);
         return ended.outcome == engine_outcome::completed && receiver.good() == options.pieces;
     });
+    const process_use before = system.entry_use(0);
     const auto entry = run_streams(options, [&](std::size_t number, const auto& on_first) {
-        standin_caller caller(system.entry(), customer_key);
+        standin_caller caller(system.entry(0), bench_system::key);
         const caller_answer answer =
             caller.stream("chat", prompt_of(number), options.pieces, [&](std::size_t pieces) {
                 if (pieces == 1) {
@@ -229,6 +151,7 @@
             });
         return answer.whole && answer.pieces.size() == options.pieces;
     });
+    const process_use after = system.entry_use(0);
     std::printf("%-8s %9s %9s %9s %11s %8s %7s\n", "path", "p50 ms", "p95 ms", "p99 ms", "pieces/s",
                 "broken", "s");
     print("direct", direct);
@@ -237,6 +160,10 @@
                 entry.quantile(0.99) - direct.quantile(0.99),
                 static_cast<double>(entry.pieces) / entry.seconds /
                     (static_cast<double>(direct.pieces) / direct.seconds));
+    std::printf("entry process: %.0f us a piece, %zu threads, %zu KB resident\n",
+                (after.processor_seconds - before.processor_seconds) * 1e6 /
+                    static_cast<double>(entry.pieces),
+                after.threads, after.resident_kb);
     return 0;
 }
 
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -22,6 +22,7 @@
 
     /// `ADDRESS:PORT`, or empty where the program ended without it.
     [[nodiscard]] const std::string& listening() const { return listening_; }
+    [[nodiscard]] pid_t pid() const { return pid_; }
     void signal(int number) const;
     /// Waits for the end and returns the exit code; negative when a signal ended it.
     int wait();
