Tell a take-back that the table has not recorded as stopped

Cause: the list of moves and the status named a take-back 'taken_back' before the table had recorded it; an end that a node states alone is none. Change: operators are told 'stopped' until then; rows and facts are the same.

--- a/src/control/move_codec.cc
+++ b/src/control/move_codec.cc
@@ -79,6 +79,14 @@
     return state_names.at(static_cast<std::size_t>(state));
 }
 
+std::string tell_move(const version_move& move) {
+    json told = to_json(move);
+    if (move.state == move_state::taken_back && !is_recorded_end(move)) {
+        told["state"] = "stopped";
+    }
+    return dump(told);
+}
+
 std::string encode_move(const version_move& move) {
     return dump(to_json(move));
 }
--- a/src/control/move_handler.cc
+++ b/src/control/move_handler.cc
@@ -20,7 +20,7 @@
 constexpr std::size_t most_audit_limit = 1000;
 
 json to_json(const version_move& move) {
-    return json::parse(encode_move(move));
+    return json::parse(tell_move(move));
 }
 
 std::size_t number_param(const httplib::Request& request, const std::string& name,
--- a/src/control/status_handler.cc
+++ b/src/control/status_handler.cc
@@ -50,7 +50,7 @@
     return {{"team", report.team.str()},
             {"id", report.id.str()},
             {"version", report.version.str()},
-            {"move", report.move ? json::parse(encode_move(*report.move)) : json(nullptr)},
+            {"move", report.move ? json::parse(tell_move(*report.move)) : json(nullptr)},
             {"backends", backends}};
 }
 
--- a/tests/control/move_calls_test.cc
+++ b/tests/control/move_calls_test.cc
@@ -17,6 +17,18 @@
     http_answer take_back(const std::string& id) {
         return call("POST", "/v1/moves/" + id + "/take_back", "bela-key", "too slow");
     }
+    /// What operators are told; the same in the list of moves and in the status.
+    std::string told_state() {
+        const json listed = json::parse(call("GET", "/v1/moves", "bela-key").body);
+        const json status = json::parse(call("GET", "/v1/status", "bela-key").body);
+        const std::string state = listed["moves"][0]["state"];
+        for (const json& service : status["services"]) {
+            if (service["id"] == "diagnosis") {
+                CHECK(service["move"]["state"] == state);
+            }
+        }
+        return state;
+    }
     move_state state() { return moves.find(service_id("diagnosis"))->value().move.state; }
 };
 
@@ -92,9 +104,11 @@
     CHECK(control.boards.moves.of_service(service_id("diagnosis"))->share == 0.0);
     CHECK(control.boards.moves.of_service(service_id("diagnosis"))->state ==
           move_state::taken_back);
+    CHECK(control.told_state() == "stopped");
     control.rows.set_down(false);
     CHECK(control.take_back("m1").status == 200);
     CHECK(control.state() == move_state::taken_back);
+    CHECK(control.told_state() == "taken_back");
 }
 
 TEST_CASE("a done move is not taken back, and the next waits for the settings to name its end") {
