--- a/tests/control/move_calls_test.cc
+++ b/tests/control/move_calls_test.cc
@@ -21,7 +21,7 @@
     std::string told_state() {
         const json listed = json::parse(call("GET", "/v1/moves", "bela-key").body);
         const json status = json::parse(call("GET", "/v1/status", "bela-key").body);
-        const std::string state = listed["moves"][0]["state"];
+        std::string state = listed["moves"][0]["state"];
         for (const json& service : status["services"]) {
             if (service["id"] == "diagnosis") {
                 CHECK(service["move"]["state"] == state);
