Reserve the ports of the system tests among their processes

Cause: with fixed ports for engines and plain services a test takes more than the 16 ports that its process number gives it, and meets those of a test that runs beside it; 'a claimant frozen or killed at any step' failed so under ctest -j 6, an entry that could not listen. Change: each port is held by a UDP socket on the same number until the test's process ends.

--- a/tests/system/system_fixture.cc
+++ b/tests/system/system_fixture.cc
@@ -11,8 +11,11 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <arpa/inet.h>
 #include <filesystem>
 #include <fstream>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace jujubetide {
@@ -22,6 +25,18 @@
     return parse_endpoint(process.listening()).value_or(endpoint{});
 }
 
+/// Keeps a port number from the other test processes, by a UDP socket on it, until this process
+/// ends. Returns whether no other process has it.
+bool reserve_port(std::uint16_t port) {
+    const int held = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{AF_INET, htons(port), {htonl(INADDR_LOOPBACK)}, {}};
+    if (::bind(held, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
+        return true;
+    }
+    ::close(held);
+    return false;
+}
+
 /// An address that a process can be started on again later: its port lies below those that the
 /// system gives to outgoing connections, so that none of them takes it in between.
 endpoint free_address() {
@@ -32,7 +47,8 @@
     while (true) {
         http_server_options options;
         options.listen.port = static_cast<std::uint16_t>(first_port + next++ % ports);
-        if (http_server::make(options, [](httplib::Server&) {}).ok()) {
+        if (reserve_port(options.listen.port) &&
+            http_server::make(options, [](httplib::Server&) {}).ok()) {
             return options.listen;
         }
     }
