Read plain services' answers by the streams of engines

plain_stream was a copy of the former http_stream: a thread and a bounded buffer for each call, its own way to close the connection, and a third place that built the library's request. http_stream and stream_watch do the same for both; http_plain_client keeps its limits of size and time in a receiver. The library's request and its options are made in one place (src/http/http_request.h). engine_connection is closable_connection now, as it is no longer for engines alone.

Behaviour is the same but for one bound: an answer that trickles past its limit of time is cut with its next piece or within 50 ms, where the waiting thread cut it at once; a silent one still ends by the read timeout. Each plain call takes one thread less.

--- a/include/jujubetide/backend/http_engine_client.h
+++ b/include/jujubetide/backend/http_engine_client.h
@@ -7,7 +7,6 @@
 
 namespace jujubetide {
 
-class http_stream;
 class stream_watch;
 class timer_service;
 
@@ -34,8 +33,6 @@
     absl::Status do_order(const endpoint& engine, const engine_order& order) override;
 
 private:
-    absl::Status post_watched(http_stream& stream, std::string body);
-
     std::unique_ptr<stream_watch> watch_;
     http_timeouts timeouts_;
 };
--- a/src/backend/engine_connection.cc
+++ b/src/backend/closable_connection.cc
@@ -1,7 +1,9 @@
 // The library connects while it holds the lock that its stop() takes, so that a stop during the
 // connection would wait for as long as the connection's timeout. Whether the connection stands is
 // therefore noted apart.
-#include "backend/engine_connection.h"
+#include "backend/closable_connection.h"
+
+#include "http/http_request.h"
 
 namespace jujubetide {
 namespace {
@@ -13,21 +15,18 @@
 
 } // namespace
 
-engine_connection::engine_connection(const endpoint& server, const http_timeouts& timeouts)
+closable_connection::closable_connection(const endpoint& server, const http_timeouts& timeouts)
     : ClientImpl(server.address, server.port) {
-    set_tcp_nodelay(true);
-    set_connection_timeout(timeouts.connect);
-    set_read_timeout(timeouts.read);
-    set_write_timeout(timeouts.write);
+    set_options(*this, timeouts);
 }
 
-void engine_connection::close() {
+void closable_connection::close() {
     if (connected_) {
         close_connection(*this);
     }
 }
 
-bool engine_connection::create_and_connect_socket(Socket& socket, httplib::Error& error) {
+bool closable_connection::create_and_connect_socket(Socket& socket, httplib::Error& error) {
     connected_ = ClientImpl::create_and_connect_socket(socket, error);
     return connected_;
 }
--- a/src/backend/engine_connection.h
+++ b/src/backend/closable_connection.h
@@ -10,9 +10,9 @@
 namespace jujubetide {
 
 /// A connection to one server that another thread can close without waiting.
-class engine_connection final : public httplib::ClientImpl {
+class closable_connection final : public httplib::ClientImpl {
 public:
-    engine_connection(const endpoint& server, const http_timeouts& timeouts);
+    closable_connection(const endpoint& server, const http_timeouts& timeouts);
 
     /// Ends a running call once the connection stands; has no effect before. Thread-safe.
     void close();
--- a/src/backend/http_engine_client.cc
+++ b/src/backend/http_engine_client.cc
@@ -96,18 +96,13 @@
 
 http_engine_client::~http_engine_client() = default;
 
-absl::Status http_engine_client::post_watched(http_stream& stream, std::string body) {
-    const stream_watch::registration watched(*watch_, stream);
-    return stream.post("/v1/generate", std::move(body));
-}
-
 engine_result http_engine_client::do_run(const endpoint& engine, const engine_request& request,
                                          engine_receiver& receiver) {
     http_timeouts timeouts = timeouts_;
     timeouts.read = std::max(request.time_left, millis{0}) + read_margin;
     engine_run run(request, receiver);
     http_stream stream(engine, timeouts, run);
-    const absl::Status ended = post_watched(stream, write_request(request));
+    const absl::Status ended = watch_->call(stream, "POST", "/v1/generate", write_request(request));
     engine_result result = run.result(ended, stream.status());
     if (result.outcome == engine_outcome::cancelled ||
         result.outcome == engine_outcome::interrupted) {
--- a/src/backend/http_plain_client.cc
+++ b/src/backend/http_plain_client.cc
@@ -1,9 +1,10 @@
-// The whole call has one limit of time, however slowly the answer trickles: the stream is closed
-// when it has passed. An answer that is cut off there or at its limit of size was sent by a server
-// that may have run the call.
+// The whole call has one limit of time, however slowly the answer trickles: it is closed when that
+// has passed. An answer that is cut off there or at its limit of size was sent by a server that may
+// have run the call.
 #include "jujubetide/backend/http_plain_client.h"
 
-#include "backend/plain_stream.h"
+#include "backend/http_stream.h"
+#include "backend/stream_watch.h"
 
 #include "jujubetide/edge/boot_clock.h"
 #include "jujubetide/http/refusal.h"
@@ -11,22 +12,21 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace jujubetide {
 namespace {
 
-plain_http_request make_call(const plain_request& request) {
-    plain_http_request call{request.method,
-                            request.target,
-                            request.body,
-                            {{"X-Request-Id", request.request.str()},
-                             {"X-Attempt-Id", request.attempt.str()},
-                             {"X-Deadline-Ms", absl::StrCat(request.time_left.count())}}};
+std::map<std::string, std::string> headers_of(const plain_request& request) {
+    std::map<std::string, std::string> headers{
+        {"X-Request-Id", request.request.str()},
+        {"X-Attempt-Id", request.attempt.str()},
+        {"X-Deadline-Ms", absl::StrCat(request.time_left.count())}};
     if (!request.content_type.empty()) {
-        call.headers["Content-Type"] = request.content_type;
+        headers["Content-Type"] = request.content_type;
     }
-    return call;
+    return headers;
 }
 
 plain_result make_failure(plain_outcome outcome, std::string error) {
@@ -36,54 +36,75 @@
     return result;
 }
 
-plain_result make_result(const plain_stream& stream, std::string body) {
-    const absl::Status status = stream.result();
-    if (!status.ok()) {
-        return make_failure(absl::IsUnavailable(status) ? plain_outcome::not_run
-                                                        : plain_outcome::unknown,
-                            std::string(status.message()));
+/// Keeps an answer's body within the request's limits of size and of time.
+class limited_body final : public http_stream_receiver {
+public:
+    explicit limited_body(const plain_request& request)
+        : request_(request), end_(time_.now() + request.time_left) {}
+
+    /// The call's result, once `stream` has ended with `ended`.
+    plain_result result(const absl::Status& ended, const http_stream& stream) {
+        if (too_large_) {
+            plain_result cut = make_failure(
+                plain_outcome::unknown,
+                absl::StrCat("the answer has more than ", request_.max_answer_bytes, " bytes"));
+            cut.answer_too_large = true;
+            return cut;
+        }
+        if (absl::IsUnavailable(ended)) {
+            return make_failure(plain_outcome::not_run, std::string(ended.message()));
+        }
+        if (!ended.ok()) {
+            return make_failure(plain_outcome::unknown,
+                                is_late() ? absl::StrCat("no whole answer within ",
+                                                         request_.time_left.count(), " ms")
+                                          : std::string(ended.message()));
+        }
+        plain_result whole;
+        whole.outcome =
+            read_refusal(stream.status(), body_) ? plain_outcome::not_run : plain_outcome::answered;
+        whole.status = stream.status();
+        whole.content_type = stream.content_type();
+        whole.body = std::move(body_);
+        return whole;
     }
-    plain_result result;
-    result.outcome =
-        read_refusal(stream.status(), body) ? plain_outcome::not_run : plain_outcome::answered;
-    result.status = stream.status();
-    result.content_type = stream.content_type();
-    result.body = std::move(body);
-    return result;
-}
+
+protected:
+    bool do_on_bytes(int /*status*/, std::string_view bytes) override {
+        body_ += bytes;
+        too_large_ = body_.size() > request_.max_answer_bytes;
+        return !too_large_ && !is_late();
+    }
+    bool do_on_tick() override { return !is_late(); }
+
+private:
+    [[nodiscard]] bool is_late() const { return time_.now() >= end_; }
+
+    const plain_request& request_;
+    boot_clock time_;
+    time_point end_;
+    std::string body_;
+    bool too_large_ = false;
+};
 
 } // namespace
 
+http_plain_client::http_plain_client(timer_service& timers, millis connect_timeout)
+    : watch_(std::make_unique<stream_watch>(timers)), connect_timeout_(connect_timeout) {}
+
+http_plain_client::~http_plain_client() = default;
+
 plain_result http_plain_client::do_call(const endpoint& server, const plain_request& request) {
     if (request.time_left <= millis{0}) {
         return make_failure(plain_outcome::not_run, "no time left");
     }
-    const boot_clock time;
-    const time_point end = time.now() + request.time_left;
     // Shorter than the whole, so that a connection that failed is told apart from a late answer.
     const millis connect = std::max(std::min(connect_timeout_, request.time_left / 2), millis{1});
-    const http_timeouts timeouts{connect, request.time_left, request.time_left};
-    plain_stream stream(server, make_call(request), timeouts);
-    std::string body;
-    while (true) {
-        const plain_stream::progress seen = stream.wait(to_millis(end - time.now()));
-        body += seen.bytes;
-        if (body.size() > request.max_answer_bytes) {
-            plain_result result = make_failure(
-                plain_outcome::unknown,
-                absl::StrCat("the answer has more than ", request.max_answer_bytes, " bytes"));
-            result.answer_too_large = true;
-            return result;
-        }
-        if (seen.finished) {
-            return make_result(stream, std::move(body));
-        }
-        if (time.now() >= end) {
-            return make_failure(
-                plain_outcome::unknown,
-                absl::StrCat("no whole answer within ", request.time_left.count(), " ms"));
-        }
-    }
+    limited_body body(request);
+    http_stream stream(server, {connect, request.time_left, request.time_left}, body);
+    const absl::Status ended =
+        watch_->call(stream, request.method, request.target, request.body, headers_of(request));
+    return body.result(ended, stream);
 }
 
 } // namespace jujubetide
--- a/src/backend/http_stream.cc
+++ b/src/backend/http_stream.cc
@@ -3,25 +3,27 @@
 // connection. That is repeated with each tick: a close before the connection stands has no effect.
 #include "backend/http_stream.h"
 
-#include "backend/engine_connection.h"
+#include "backend/closable_connection.h"
+#include "http/http_request.h"
+
+#include <utility>
 
 namespace jujubetide {
 
 http_stream::http_stream(const endpoint& server, const http_timeouts& timeouts,
                          http_stream_receiver& receiver)
-    : receiver_(receiver), connection_(std::make_unique<engine_connection>(server, timeouts)) {}
+    : receiver_(receiver), connection_(std::make_unique<closable_connection>(server, timeouts)) {}
 
 http_stream::~http_stream() = default;
 
-absl::Status http_stream::post(const std::string& target, std::string body) {
-    httplib::Request request;
-    request.method = "POST";
-    request.path = target;
-    request.body = std::move(body);
-    request.set_header("Content-Type", "application/json");
+absl::Status http_stream::call(const std::string& method, const std::string& target,
+                               std::string body,
+                               const std::map<std::string, std::string>& headers) {
+    httplib::Request request = make_request(method, target, std::move(body), headers);
     request.response_handler = [this](const httplib::Response& response) {
         const std::lock_guard lock(mutex_);
         status_ = response.status;
+        content_type_ = response.get_header_value("Content-Type");
         return !stopping_;
     };
     request.content_receiver = [this](const char* data, std::size_t size, std::uint64_t,
--- a/src/backend/http_stream.h
+++ b/src/backend/http_stream.h
@@ -3,7 +3,7 @@
 #include "jujubetide/base/endpoint.h"
 #include "jujubetide/http/http_client.h"
 
-#include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -11,7 +11,7 @@
 
 namespace jujubetide {
 
-class engine_connection;
+class closable_connection;
 
 /// Takes an answer as it comes. Never called twice at the same time.
 class http_stream_receiver {
@@ -30,7 +30,7 @@
     virtual bool do_on_tick() = 0;
 };
 
-/// One POST whose answer is read piecewise on the calling thread; a second thread asks the receiver
+/// One call whose answer is read piecewise on the calling thread; a second thread asks the receiver
 /// now and then whether to go on.
 class http_stream {
 public:
@@ -42,21 +42,24 @@
 
     /// Sends the request and reads until the answer ends or the receiver wants to stop. OK when the
     /// answer ended in good form; errors as for `to_status`.
-    absl::Status post(const std::string& target, std::string body);
-    /// The answer's status; 0 where none came. Meaningful after `post`.
+    absl::Status call(const std::string& method, const std::string& target, std::string body,
+                      const std::map<std::string, std::string>& headers = {});
+    /// The answer's status, 0 where none came, and its type. Meaningful after `call`.
     [[nodiscard]] int status() const { return status_; }
+    [[nodiscard]] const std::string& content_type() const { return content_type_; }
 
-    /// Asks the receiver, and ends `post` when it wants to stop. Does not wait for the network.
+    /// Asks the receiver, and ends `call` when it wants to stop. Does not wait for the network.
     void tick();
 
 private:
     bool take(std::string_view bytes);
 
     http_stream_receiver& receiver_;
-    std::unique_ptr<engine_connection> connection_;
+    std::unique_ptr<closable_connection> connection_;
     /// Guards the receiver and what follows.
     std::mutex mutex_;
     int status_ = 0;
+    std::string content_type_;
     bool stopping_ = false;
 };
 
--- a/src/backend/stream_watch.cc
+++ b/src/backend/stream_watch.cc
@@ -2,7 +2,8 @@
 
 #include "backend/http_stream.h"
 
-#include <functional>
+#include <cstdint>
+#include <utility>
 
 namespace jujubetide {
 namespace {
@@ -11,20 +12,33 @@
 
 } // namespace
 
+/// Ticks a stream until destroyed; then no tick runs any more.
+class stream_watch::registration {
+public:
+    registration(shard& own, http_stream& stream) : own_(own), stream_(stream) {
+        const std::lock_guard lock(own_.mutex);
+        own_.streams.insert(&stream_);
+    }
+    ~registration() {
+        const std::lock_guard lock(own_.mutex);
+        own_.streams.erase(&stream_);
+    }
+    registration(const registration&) = delete;
+    registration& operator=(const registration&) = delete;
+
+private:
+    shard& own_;
+    http_stream& stream_;
+};
+
 stream_watch::stream_watch(timer_service& timers)
     : timer_(timers.every(tick_interval, tick_interval, [this] { tick_all(); })) {}
 
-stream_watch::registration::registration(stream_watch& watch, http_stream& stream)
-    : watch_(watch), stream_(stream) {
-    shard& own = watch_.shard_of(stream_);
-    const std::lock_guard lock(own.mutex);
-    own.streams.insert(&stream_);
-}
-
-stream_watch::registration::~registration() {
-    shard& own = watch_.shard_of(stream_);
-    const std::lock_guard lock(own.mutex);
-    own.streams.erase(&stream_);
+absl::Status stream_watch::call(http_stream& stream, const std::string& method,
+                                const std::string& target, std::string body,
+                                const std::map<std::string, std::string>& headers) {
+    const registration watched(shard_of(stream), stream);
+    return stream.call(method, target, std::move(body), headers);
 }
 
 stream_watch::shard& stream_watch::shard_of(const http_stream& stream) {
--- a/src/backend/stream_watch.h
+++ b/src/backend/stream_watch.h
@@ -2,9 +2,13 @@
 
 #include "jujubetide/base/timer_service.h"
 
+#include <absl/status/status.h>
+
 #include <array>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <unordered_set>
 
 namespace jujubetide {
@@ -14,22 +18,17 @@
 /// Ticks all running streams from one timer, each at least twice in 100 ms. Thread-safe.
 class stream_watch {
 public:
+    /// `timers` must outlive the watch.
     explicit stream_watch(timer_service& timers);
 
-    /// Ticks a stream until destroyed; then no tick runs any more.
-    class registration {
-    public:
-        registration(stream_watch& watch, http_stream& stream);
-        ~registration();
-        registration(const registration&) = delete;
-        registration& operator=(const registration&) = delete;
-
-    private:
-        stream_watch& watch_;
-        http_stream& stream_;
-    };
+    /// Makes the stream's call, and ticks the stream until it has ended. Blocks; result as for
+    /// `http_stream::call`.
+    absl::Status call(http_stream& stream, const std::string& method, const std::string& target,
+                      std::string body, const std::map<std::string, std::string>& headers = {});
 
 private:
+    class registration;
+
     /// Its lock is held while its streams are ticked, so that a stream that has left is not.
     struct shard {
         std::mutex mutex;
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -106,7 +106,7 @@
     blackboard boards;
     http_table platform_table;
     http_engine_client engines{timers};
-    http_plain_client plain;
+    http_plain_client plain{timers};
     prefix_router routes{boards.backends, time};
     share_admission limits;
     retry_budget retries;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,20 +1,35 @@
 #include "jujubetide/http/http_client.h"
 
+#include "http/http_request.h"
+
 #include <absl/strings/str_cat.h>
-#include <httplib.h>
+
+#include <utility>
 
 namespace jujubetide {
 
 std::unique_ptr<httplib::Client> make_http_client(const endpoint& server,
                                                   const http_timeouts& timeouts) {
     auto client = std::make_unique<httplib::Client>(server.address, server.port);
-    client->set_tcp_nodelay(true);
-    client->set_connection_timeout(timeouts.connect);
-    client->set_read_timeout(timeouts.read);
-    client->set_write_timeout(timeouts.write);
+    set_options(*client, timeouts);
     return client;
 }
 
+httplib::Request make_request(const std::string& method, const std::string& target,
+                              std::string body, const std::map<std::string, std::string>& headers) {
+    httplib::Request request;
+    request.method = method;
+    request.path = target;
+    request.body = std::move(body);
+    for (const auto& [name, value] : headers) {
+        request.set_header(name, value);
+    }
+    if (!request.body.empty() && !request.has_header("Content-Type")) {
+        request.set_header("Content-Type", "application/json");
+    }
+    return request;
+}
+
 absl::Status to_status(httplib::Error error) {
     const std::string text = httplib::to_string(error);
     switch (error) {
@@ -34,17 +49,7 @@
                                       const http_timeouts& timeouts,
                                       const std::map<std::string, std::string>& headers) {
     const std::unique_ptr<httplib::Client> client = make_http_client(server, timeouts);
-    httplib::Request request;
-    request.method = method;
-    request.path = target;
-    request.body = body;
-    for (const auto& [name, value] : headers) {
-        request.set_header(name, value);
-    }
-    if (!body.empty() && !request.has_header("Content-Type")) {
-        request.set_header("Content-Type", "application/json");
-    }
-    const httplib::Result result = client->send(request);
+    const httplib::Result result = client->send(make_request(method, target, body, headers));
     if (!result) {
         return to_status(result.error());
     }
--- a/tests/backend/http_plain_client_test.cc
+++ b/tests/backend/http_plain_client_test.cc
@@ -1,6 +1,7 @@
 #include "standins/standin_plain_service.h"
 
 #include "jujubetide/backend/http_plain_client.h"
+#include "jujubetide/edge/thread_timer_service.h"
 
 #include <catch2/catch.hpp>
 #include <httplib.h>
@@ -27,7 +28,8 @@
 
 TEST_CASE("a plain call arrives whole and once") {
     const auto service = make_service();
-    http_plain_client client;
+    thread_timer_service timers;
+    http_plain_client client(timers);
     const plain_result result = client.call(service->address(), make_request("r1"));
     REQUIRE(result.outcome == plain_outcome::answered);
     CHECK(result.status == 200);
@@ -39,7 +41,8 @@
 
 TEST_CASE("a plain call did not run only when that is certain") {
     const auto service = make_service();
-    http_plain_client client;
+    thread_timer_service timers;
+    http_plain_client client(timers);
     const auto outcome_with = [&](plain_fault fault, const std::string& id) {
         service->set_fault(fault);
         return client.call(service->address(), make_request(id)).outcome;
@@ -78,7 +81,8 @@
         });
     });
     REQUIRE(server.ok());
-    http_plain_client client;
+    thread_timer_service timers;
+    http_plain_client client(timers);
     plain_request request = make_request("r1");
     request.target = "/large";
     request.max_answer_bytes = 100'000;
--- a/tests/entry/entry_fixture.h
+++ b/tests/entry/entry_fixture.h
@@ -51,7 +51,7 @@
     no_log log_;
     http_table table_;
     http_engine_client engines_{timers_};
-    http_plain_client plain_;
+    http_plain_client plain_{timers_};
     least_loaded_router routes_{boards.backends};
     deadline_admission limits_;
     retry_budget retries_;
