Renew a runner's lease in the lease's keeper

move_runner and fleet_runner held the same last_renewal_, the same check of the period and the same step. lease_keeper::step_each does it for both; the periods stay theirs.

--- a/include/jujubetide/lease/lease_keeper.h
+++ b/include/jujubetide/lease/lease_keeper.h
@@ -6,6 +6,7 @@
 #include "jujubetide/platform/table.h"
 
 #include <mutex>
+#include <optional>
 
 namespace jujubetide {
 
@@ -19,6 +20,9 @@
     /// duration. Blocks on the table. Returns the table's error; a lease that another holds is
     /// none.
     absl::Status step();
+    /// For an owner that is called more often than it renews: steps the first time, and then once
+    /// `period` has passed since. A renewal that fails is told by `held`.
+    void step_each(micros period);
     /// Gives the lease up at once and tells others. Orders that were permitted must have ended.
     absl::Status release();
     /// Another holder's fencing number was met at a server.
@@ -44,6 +48,8 @@
     std::mutex step_mutex_;
     mutable std::mutex mutex_;
     lease_state state_;
+    /// When `step_each` stepped last.
+    std::optional<time_point> last_step_;
 };
 
 } // namespace jujubetide
--- a/src/control/fleet_runner.cc
+++ b/src/control/fleet_runner.cc
@@ -28,7 +28,7 @@
 } // namespace
 
 void fleet_runner::step() {
-    renew_lease();
+    parts_.lease.step_each(renewal_period);
     const snapshot_ptr settings = parts_.board.settings.current();
     if (!settings || !settings->fleet() || !parts_.lease.held() || !read_cloud()) {
         return;
@@ -46,16 +46,6 @@
     decide(settings, *record);
 }
 
-void fleet_runner::renew_lease() {
-    const time_point now = parts_.time.now();
-    if (last_renewal_ != time_point{} && now - last_renewal_ < renewal_period) {
-        return;
-    }
-    last_renewal_ = now;
-    // A renewal that fails is told by `held`.
-    (void)parts_.lease.step();
-}
-
 /// Reads the hosts, and the prices when they are due; returns whether both are known.
 bool fleet_runner::read_cloud() {
     auto listed = parts_.listed.list();
--- a/src/control/fleet_runner.h
+++ b/src/control/fleet_runner.h
@@ -47,7 +47,6 @@
     void step();
 
 private:
-    void renew_lease();
     bool read_cloud();
     void carry_out(const fleet_settings& settings, fleet_row& row);
     void start(fleet_row& row);
@@ -71,7 +70,6 @@
     [[nodiscard]] bool order_permitted() const;
 
     dependencies parts_;
-    time_point last_renewal_{};
     time_point last_prices_{};
     host_prices prices_;
     /// As read in this step.
--- a/src/control/move_runner.cc
+++ b/src/control/move_runner.cc
@@ -26,7 +26,7 @@
 } // namespace
 
 void move_runner::step() {
-    renew_lease();
+    parts_.lease.step_each(renewal_period);
     read_rows();
     for (const stored_move& stored : rows_) {
         // Others read the table rarely; what is new here may be new to them.
@@ -51,16 +51,6 @@
     }
 }
 
-void move_runner::renew_lease() {
-    const time_point now = parts_.time.now();
-    if (last_renewal_ != time_point{} && now - last_renewal_ < renewal_period) {
-        return;
-    }
-    last_renewal_ = now;
-    // A renewal that fails is told by `held`.
-    (void)parts_.lease.step();
-}
-
 void move_runner::step_move(const stored_move& stored) {
     const auto known = parts_.board.moves.of_service(stored.move.service);
     if (!known || known->id != stored.move.id || is_recorded_end(*known)) {
--- a/src/control/move_runner.h
+++ b/src/control/move_runner.h
@@ -45,7 +45,6 @@
     absl::Status receive(const peer_message& message);
 
 private:
-    void renew_lease();
     void step_move(const stored_move& stored);
     void record_stop(const stored_move& stored);
     void apply(const stored_move& stored, const move_action& action);
@@ -60,7 +59,6 @@
 
     node_id self_;
     dependencies parts_;
-    time_point last_renewal_{};
     time_point last_read_{};
     /// The rows as last read; used while the table is down.
     std::vector<stored_move> rows_;
--- a/src/lease/lease_keeper.cc
+++ b/src/lease/lease_keeper.cc
@@ -43,6 +43,18 @@
     return status;
 }
 
+void lease_keeper::step_each(micros period) {
+    const time_point now = clock_.now();
+    {
+        const std::lock_guard lock(mutex_);
+        if (last_step_ && now - *last_step_ < period) {
+            return;
+        }
+        last_step_ = now;
+    }
+    step().IgnoreError();
+}
+
 absl::Status lease_keeper::release() {
     const std::lock_guard step_lock(step_mutex_);
     std::optional<lease_write> release;
