Load newer settings and draw a wait's jitter in one place

The pollers of entry and control each compared the table's revision with the one in force, loaded the settings, and drew the same jitter. settings_store::load_newer and base's with_jitter serve both; what differs stays in the pollers (the entry polls fast until something is declared, control also reads the moves).

--- a/include/jujubetide/settings/settings_store.h
+++ b/include/jujubetide/settings/settings_store.h
@@ -31,6 +31,9 @@
 
     /// The newest accepted settings. Errors as for `table`.
     absl::StatusOr<snapshot_ptr> load();
+    /// The newest accepted settings where they are newer than `known`, which may be null; null
+    /// where they are not. Errors as for `table`.
+    absl::StatusOr<snapshot_ptr> load_newer(const snapshot_ptr& known);
     /// The revision of the newest accepted settings; one read.
     absl::StatusOr<revision> newest();
     /// Checks the change against `current` and writes it in one transaction with its audit record.
--- a/src/control/table_poller.cc
+++ b/src/control/table_poller.cc
@@ -2,26 +2,21 @@
 
 #include "control/control_events.h"
 
+#include "jujubetide/base/jitter.h"
+
 #include <algorithm>
 
 namespace jujubetide {
 namespace {
 
 constexpr millis first_period{1'000};
-/// Part by which a wait may be longer or shorter.
-constexpr double jitter = 0.25;
 
 absl::Status read_settings(const control_parts& parts) {
-    const snapshot_ptr current = parts.boards.settings.current();
-    const absl::StatusOr<revision> newest = parts.settings.newest();
-    if (!newest.ok() || (current && *newest <= current->at())) {
-        return newest.status();
-    }
-    const absl::StatusOr<snapshot_ptr> loaded = parts.settings.load();
-    if (loaded.ok()) {
-        parts.facts.settings(*loaded);
+    const auto newer = parts.settings.load_newer(parts.boards.settings.current());
+    if (newer.ok() && *newer != nullptr) {
+        parts.facts.settings(*newer);
     }
-    return loaded.status();
+    return newer.status();
 }
 
 absl::Status read_moves(const control_parts& parts) {
@@ -53,8 +48,7 @@
     }
     const bool has_settings = parts_.boards.settings.current() != nullptr;
     const millis base = has_settings ? period_ : std::min(period_, first_period);
-    const double factor = 1.0 - jitter + 2.0 * jitter * random_.uniform();
-    return std::chrono::duration_cast<micros>(micros(base) * factor);
+    return with_jitter(base, random_);
 }
 
 } // namespace jujubetide
--- a/src/entry/settings_poller.cc
+++ b/src/entry/settings_poller.cc
@@ -2,6 +2,10 @@
 
 #include "entry/entry_events.h"
 
+#include "jujubetide/base/jitter.h"
+
+#include <algorithm>
+
 namespace jujubetide {
 
 settings_poller::settings_poller(entry_parts& parts, random_source& random, millis period,
@@ -19,25 +23,15 @@
     const snapshot_ptr current = parts_.boards.settings.current();
     const bool has_settings = current != nullptr && current->at() > revision();
     const millis base = has_settings ? period_ : std::min(period_, first_load_period);
-    const double factor = 1.0 - jitter + 2.0 * jitter * random_.uniform();
-    return std::chrono::duration_cast<micros>(micros(base) * factor);
+    return with_jitter(base, random_);
 }
 
 absl::Status settings_poller::load() {
-    const snapshot_ptr current = parts_.boards.settings.current();
-    const absl::StatusOr<revision> newest = store_.newest();
-    if (!newest.ok()) {
-        return newest.status();
-    }
-    if (current != nullptr && *newest <= current->at()) {
-        return absl::OkStatus();
-    }
-    const absl::StatusOr<snapshot_ptr> loaded = store_.load();
-    if (!loaded.ok()) {
-        return loaded.status();
+    const auto newer = store_.load_newer(parts_.boards.settings.current());
+    if (newer.ok() && *newer != nullptr) {
+        parts_.facts.settings(*newer);
     }
-    parts_.facts.settings(*loaded);
-    return absl::OkStatus();
+    return newer.status();
 }
 
 } // namespace jujubetide
--- a/src/entry/settings_poller.h
+++ b/src/entry/settings_poller.h
@@ -14,8 +14,6 @@
 /// while nothing was ever declared, each second. Peers bring changes faster.
 class settings_poller {
 public:
-    /// Part by which a wait may be longer or shorter.
-    static constexpr double jitter = 0.25;
     static constexpr millis first_load_period{1'000};
 
     /// All references outlive the poller. `on_loaded` is called after each successful read.
--- a/src/settings/settings_store.cc
+++ b/src/settings/settings_store.cc
@@ -261,6 +261,17 @@
     return loaded->snapshot;
 }
 
+absl::StatusOr<snapshot_ptr> settings_store::load_newer(const snapshot_ptr& known) {
+    const absl::StatusOr<revision> at = newest();
+    if (!at.ok()) {
+        return at.status();
+    }
+    if (known != nullptr && *at <= known->at()) {
+        return nullptr;
+    }
+    return load();
+}
+
 absl::StatusOr<revision> settings_store::newest() {
     const auto row = table_.get(settings_head_key);
     if (!row.ok()) {
