Begin the tests' stops of entries, and their clusters with loads, in one place

Five hand-over tests wrote the same thread that drains an entry, two tests of loads the same start. entry_stops and start_with_loads serve them; limits, counts and checks are the same. entry_test 37 cases and the two of membership_test passed.

--- a/tests/entry/hand_over_test.cc
+++ b/tests/entry/hand_over_test.cc
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <thread>
+#include <vector>
 
 using namespace jujubetide;
 
@@ -10,6 +12,28 @@
 
 constexpr std::uint32_t pieces = 60;
 
+/// Stops of entries, each on a thread of its own.
+class entry_stops {
+public:
+    /// Begins to drain the entry; running answers have `limit` to end.
+    void begin(test_entry& entry, millis limit = millis{20'000}) {
+        threads_.emplace_back(
+            [this, &entry, limit] { drained_ += entry.server().drain(millis{0}, limit) ? 1 : 0; });
+    }
+    /// Waits for all, and returns how many entries were drained within their limit.
+    int finish() {
+        for (std::thread& thread : threads_) {
+            thread.join();
+        }
+        threads_.clear();
+        return drained_;
+    }
+
+private:
+    std::vector<std::thread> threads_;
+    std::atomic<int> drained_{0};
+};
+
 void slow_down(entry_fixture& system) {
     standin_engine_knobs slow;
     slow.between_pieces = millis{20};
@@ -23,17 +47,14 @@
 TEST_CASE("a stopping entry hands a stream over and the caller reads one unbroken answer") {
     entry_fixture system(2, 3);
     slow_down(system);
-    std::atomic<int> drained{0};
-    std::thread stop;
+    entry_stops stops;
     const caller_answer answer = system.caller(0).stream("chat", "p", pieces, [&](std::size_t n) {
         if (n == 5) {
-            stop = std::thread([&] {
-                drained += system.entries[0]->server().drain(millis{0}, millis{20'000}) ? 1 : 0;
-            });
+            stops.begin(*system.entries[0]);
         }
         return true;
     });
-    stop.join();
+    const int drained = stops.finish();
     CHECK(drained == 1);
     CHECK(answer.whole);
     CHECK(answer.moves == 1);
@@ -56,27 +77,19 @@
 TEST_CASE("a second stop during the first hand-over moves the request on") {
     entry_fixture system(2, 3);
     slow_down(system);
-    std::atomic<int> drained{0};
-    std::vector<std::thread> stops;
-    const auto stop_entry = [&](std::size_t entry) {
-        stops.emplace_back([&, entry] {
-            drained += system.entries[entry]->server().drain(millis{0}, millis{20'000}) ? 1 : 0;
-        });
-    };
+    entry_stops stops;
     const caller_answer answer = system.caller(0).stream("chat", "p", pieces, [&](std::size_t n) {
         if (n == 5) {
-            stop_entry(0);
+            stops.begin(*system.entries[0]);
         }
         if (n == 20) {
             // Whichever of the others took it.
             system.entries[1]->server().begin_drain();
-            stop_entry(1);
+            stops.begin(*system.entries[1]);
         }
         return true;
     });
-    for (std::thread& stop : stops) {
-        stop.join();
-    }
+    const int drained = stops.finish();
     CHECK(drained == 2);
     CHECK(answer.whole);
     CHECK(answer.moves >= 1);
@@ -87,17 +100,14 @@
     entry_fixture system(2, 2);
     slow_down(system);
     system.entries[0]->peers.lose_replies(1);
-    std::atomic<int> drained{0};
-    std::thread stop;
+    entry_stops stops;
     const caller_answer answer = system.caller(0).stream("chat", "p", pieces, [&](std::size_t n) {
         if (n == 5) {
-            stop = std::thread([&] {
-                drained += system.entries[0]->server().drain(millis{0}, millis{20'000}) ? 1 : 0;
-            });
+            stops.begin(*system.entries[0]);
         }
         return true;
     });
-    stop.join();
+    const int drained = stops.finish();
     CHECK(drained == 1);
     CHECK(answer.whole);
     CHECK(answer.moves == 1);
@@ -108,17 +118,14 @@
 TEST_CASE("without a peer that takes it a request ends at its own node") {
     entry_fixture system(2, 1);
     slow_down(system);
-    std::atomic<int> drained{0};
-    std::thread stop;
+    entry_stops stops;
     const caller_answer answer = system.caller(0).stream("chat", "p", 20, [&](std::size_t n) {
         if (n == 5) {
-            stop = std::thread([&] {
-                drained += system.entries[0]->server().drain(millis{0}, millis{30'000}) ? 1 : 0;
-            });
+            stops.begin(*system.entries[0], millis{30'000});
         }
         return true;
     });
-    stop.join();
+    const int drained = stops.finish();
     CHECK(drained == 1);
     CHECK(answer.whole);
     CHECK(answer.moves == 0);
@@ -138,17 +145,14 @@
         // Known as alive, but it refuses.
         system.entries[1]->server().begin_drain();
     }
-    std::atomic<int> drained{0};
-    std::thread stop;
+    entry_stops stops;
     const caller_answer answer = system.caller(0).stream("chat", "p", pieces, [&](std::size_t n) {
         if (n == 5) {
-            stop = std::thread([&] {
-                drained += system.entries[0]->server().drain(millis{0}, millis{30'000}) ? 1 : 0;
-            });
+            stops.begin(*system.entries[0], millis{30'000});
         }
         return true;
     });
-    stop.join();
+    const int drained = stops.finish();
     std::size_t attempts = 0;
     for (const auto& engine : system.engines) {
         attempts += engine->counters().executions_by_attempt.size();
--- a/tests/membership/load_spread_test.cc
+++ b/tests/membership/load_spread_test.cc
@@ -48,16 +48,21 @@
     return shape;
 }
 
-} // namespace
-
-TEST_CASE("each server is watched by one node and its load reaches all, with loss") {
-    simulated_cluster cluster(lossy(16));
+/// Starts all nodes before 24 servers, and waits until each knows each server's first load.
+void start_with_loads(simulated_cluster& cluster, const shown_load& shown) {
     cluster.start_all();
     REQUIRE(cluster.run_until([&] { return cluster.converged(); }, 30s) >= 0us);
-    shown_load shown;
     declare_servers(cluster, 24);
     report_loads(cluster, shown);
     REQUIRE(cluster.run_until([&] { return all_know(cluster, 3); }, 20s) >= 0us);
+}
+
+} // namespace
+
+TEST_CASE("each server is watched by one node and its load reaches all, with loss") {
+    simulated_cluster cluster(lossy(16));
+    shown_load shown;
+    start_with_loads(cluster, shown);
     // Second watchers stop once they have heard the first ones.
     cluster.run_for(20s);
     std::map<backend_server_id, int> watchers;
@@ -75,12 +80,8 @@
 
 TEST_CASE("a second node steps in for a watcher that does not report any more") {
     simulated_cluster cluster(lossy(16));
-    cluster.start_all();
-    REQUIRE(cluster.run_until([&] { return cluster.converged(); }, 30s) >= 0us);
     shown_load shown;
-    declare_servers(cluster, 24);
-    report_loads(cluster, shown);
-    REQUIRE(cluster.run_until([&] { return all_know(cluster, 3); }, 20s) >= 0us);
+    start_with_loads(cluster, shown);
     // The watcher is alive but cannot reach the server, so its death will not change duties.
     const backend_server_id lost("engine-0");
     const auto full_report = cluster.after_tick;
