--- a/include/jujubetide/peer/peer_node.h
+++ b/include/jujubetide/peer/peer_node.h
@@ -18,9 +18,8 @@
 /// Wiring in a program's main:
 ///
 ///     auto link = nghttp2_peer_link::make(settings.peer_listen, settings.node);
-///     parsing_snapshot_builder builder;
-///     auto node = peer_node::make(settings, node_role::entry, public_address, board, **link,
-///                                 timers, clock, random, builder, log);
+///     node_process process("program");
+///     auto node = process.make_node(settings, node_role::entry, public_address, **link);
 ///     ... set the handlers of other kinds on the link, before `start` ...
 ///     (*node)->start();
 ///     ... serve once a snapshot is in force: from the table, or, while that is down, once
--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -9,17 +9,13 @@
 #include "settings/yaml_reader.h"
 
 #include "jujubetide/backend/http_engine_client.h"
-#include "jujubetide/edge/boot_clock.h"
 #include "jujubetide/edge/periodic_task.h"
-#include "jujubetide/edge/process_log.h"
 #include "jujubetide/edge/shutdown_signal.h"
 #include "jujubetide/edge/system_random.h"
-#include "jujubetide/edge/thread_timer_service.h"
 #include "jujubetide/fleet/least_cost_planner.h"
 #include "jujubetide/lease/order_service.h"
-#include "jujubetide/membership/parsing_snapshot_builder.h"
 #include "jujubetide/peer/nghttp2_peer_link.h"
-#include "jujubetide/peer/peer_node.h"
+#include "jujubetide/peer/node_process.h"
 #include "jujubetide/platform/http_cloud.h"
 #include "jujubetide/platform/http_host_list.h"
 #include "jujubetide/platform/http_table.h"
@@ -43,19 +39,12 @@
 constexpr micros fleet_period{5'000'000};
 
 /// What the process's parts share, in the order in which they depend on each other.
-struct control_process {
+struct control_process : node_process {
     control_process(const process_settings& settings, peer_link& link)
-        : platform_table(settings.platform), traffic(boards.members, link),
+        : node_process("jujubetide-control"), platform_table(settings.platform),
+          traffic(boards.members, link),
           bootstrap_key_sha256(settings.bootstrap_operator_key_sha256) {}
 
-    boot_clock time;
-    thread_timer_service timers;
-    process_log log{"jujubetide-control"};
-    seeded_random random = system_seeded_random();
-    /// Used by the membership only, which guards it by its own lock.
-    seeded_random peer_random = system_seeded_random();
-    blackboard boards;
-    parsing_snapshot_builder builder;
     http_table platform_table;
     settings_store store{platform_table};
     settings_history history{platform_table};
@@ -155,9 +144,7 @@
     if (!server.ok()) {
         return fail(server.status());
     }
-    auto node = peer_node::make(settings, node_role::control, (*server)->address(), process.boards,
-                                **link, process.timers, process.time, process.peer_random,
-                                process.builder, process.log);
+    auto node = process.make_node(settings, node_role::control, (*server)->address(), **link);
     if (!node.ok()) {
         return fail(node.status());
     }
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -9,17 +9,12 @@
 
 #include "jujubetide/backend/http_engine_client.h"
 #include "jujubetide/backend/http_plain_client.h"
-#include "jujubetide/edge/boot_clock.h"
-#include "jujubetide/edge/process_log.h"
 #include "jujubetide/edge/shutdown_signal.h"
-#include "jujubetide/edge/system_random.h"
-#include "jujubetide/edge/thread_timer_service.h"
 #include "jujubetide/limits/share_admission.h"
-#include "jujubetide/membership/parsing_snapshot_builder.h"
 #include "jujubetide/moves/evidence_sender.h"
 #include "jujubetide/moves/trial_version_selector.h"
 #include "jujubetide/peer/nghttp2_peer_link.h"
-#include "jujubetide/peer/peer_node.h"
+#include "jujubetide/peer/node_process.h"
 #include "jujubetide/platform/http_table.h"
 #include "jujubetide/routing/prefix_router.h"
 #include "jujubetide/settings/process_settings.h"
@@ -92,18 +87,11 @@
 }
 
 /// What the node's parts share, in the order in which they depend on each other.
-struct entry_process {
+struct entry_process : node_process {
     entry_process(const process_settings& settings, peer_link& link)
-        : platform_table(settings.platform),
+        : node_process("jujubetide-entry"), platform_table(settings.platform),
           versions(owner_of(settings, time), {boards, time, facts}), peers(link) {}
 
-    boot_clock time;
-    thread_timer_service timers;
-    process_log log{"jujubetide-entry"};
-    seeded_random random = system_seeded_random();
-    /// Used by the membership only, which guards it by its own lock.
-    seeded_random peer_random = system_seeded_random();
-    blackboard boards;
     http_table platform_table;
     http_engine_client engines{timers};
     http_plain_client plain{timers};
@@ -112,7 +100,6 @@
     retry_budget retries;
     deferred_facts facts;
     trial_version_selector versions;
-    parsing_snapshot_builder builder;
     peer_link& peers;
     evidence_sender evidence{{versions, boards, peers}};
     entry_parts parts{time,     timers,  log,   boards,         routes, limits, retries,
@@ -168,9 +155,7 @@
     if (!server.ok()) {
         return fail(server.status());
     }
-    auto node = peer_node::make(settings, node_role::entry, (*server)->address(), process.boards,
-                                **link, process.timers, process.time, process.peer_random,
-                                process.builder, process.log);
+    auto node = process.make_node(settings, node_role::entry, (*server)->address(), **link);
     if (!node.ok()) {
         return fail(node.status());
     }
