Choose the system tests' ports where nothing waits for its end

The HTTP library's servers share ports by SO_REUSEPORT, peers' by SO_REUSEADDR, and neither can take a port where the other's connections still wait. The probe for a free port was such a shared server, so that it passed. Ruled out: a port reserved twice (the UDP sockets stood), the probe's own socket, a second close. Change: the probe binds a plain socket that shares nothing.

--- a/tests/system/system_fixture.cc
+++ b/tests/system/system_fixture.cc
@@ -2,7 +2,6 @@
 
 #include "support/eventually.h"
 
-#include "jujubetide/http/http_server.h"
 #include "jujubetide/platform/http_table.h"
 #include "jujubetide/settings/settings_store.h"
 #include "jujubetide/settings/sha256.h"
@@ -25,15 +24,30 @@
     return parse_endpoint(process.listening()).value_or(endpoint{});
 }
 
-/// Keeps a port number from the other test processes, by a UDP socket on it, until this process
-/// ends. Returns whether no other process has it.
-bool reserve_port(std::uint16_t port) {
-    const int held = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+/// Binds a socket to a port, without sharing it in any way. Negative when that is not possible.
+int bind_to(int type, std::uint16_t port) {
+    const int bound = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
     sockaddr_in address{AF_INET, htons(port), {htonl(INADDR_LOOPBACK)}, {}};
-    if (::bind(held, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
+    if (::bind(bound, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
+        return bound;
+    }
+    ::close(bound);
+    return -1;
+}
+
+/// Keeps a port number from the other test processes until this one ends, by a UDP socket on it.
+/// Returns whether no other process has it, and no connection that used it as a server's port
+/// waits for its end: the servers of the HTTP library and of peers do not share such a port.
+bool reserve_port(std::uint16_t port) {
+    const int held = bind_to(SOCK_DGRAM, port);
+    const int probe = held < 0 ? -1 : bind_to(SOCK_STREAM, port);
+    if (probe >= 0) {
+        ::close(probe);
         return true;
     }
-    ::close(held);
+    if (held >= 0) {
+        ::close(held);
+    }
     return false;
 }
 
@@ -44,14 +58,11 @@
     constexpr unsigned ports = 12'000;
     constexpr unsigned ports_of_process = 16;
     static unsigned next = static_cast<unsigned>(::getpid()) * ports_of_process;
-    while (true) {
-        http_server_options options;
-        options.listen.port = static_cast<std::uint16_t>(first_port + next++ % ports);
-        if (reserve_port(options.listen.port) &&
-            http_server::make(options, [](httplib::Server&) {}).ok()) {
-            return options.listen;
-        }
-    }
+    endpoint address{"127.0.0.1", 0};
+    do {
+        address.port = static_cast<std::uint16_t>(first_port + next++ % ports);
+    } while (!reserve_port(address.port));
+    return address;
 }
 
 std::string backend_document(const std::string& service, std::size_t index,
