--- /dev/null
+++ b/include/jujubetide/http1/header_list.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace jujubetide {
+
+/// The header fields of a message in their order. Names are compared without regard to case.
+class header_list {
+public:
+    using field = std::pair<std::string, std::string>;
+
+    void add(std::string name, std::string value) {
+        fields_.emplace_back(std::move(name), std::move(value));
+    }
+    /// The value of the first field of this name.
+    [[nodiscard]] std::optional<std::string_view> find(std::string_view name) const;
+    [[nodiscard]] bool has(std::string_view name) const { return find(name).has_value(); }
+    [[nodiscard]] const std::vector<field>& fields() const { return fields_; }
+
+private:
+    std::vector<field> fields_;
+};
+
+/// Whether two header names are the same.
+bool same_header(std::string_view a, std::string_view b);
+/// Whether a comma-separated header value has `token`, without regard to case.
+bool has_token(std::string_view value, std::string_view token);
+/// Whether the field concerns one connection only and is never passed on.
+bool is_hop_by_hop(std::string_view name);
+
+} // namespace jujubetide
--- /dev/null
+++ b/include/jujubetide/http1/http1_client.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "jujubetide/base/clock.h"
+#include "jujubetide/http1/message.h"
+#include "jujubetide/net/event_loop.h"
+#include "jujubetide/net/tcp_connection.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace jujubetide {
+
+/// How a call ended without a whole response.
+enum class call_failure {
+    /// No connection came about; nothing was sent.
+    not_connected,
+    /// The connection ended or its bytes made no sense after the request was sent, at least in
+    /// part.
+    broken,
+    timed_out,
+};
+
+/// Takes the events of one call. `on_whole` or `on_failed` comes last, unless the call is
+/// cancelled.
+class call_events {
+public:
+    virtual ~call_events() = default;
+    /// Returns whether the response is the one to this call; otherwise it is skipped and the next
+    /// one on the connection awaited.
+    [[nodiscard]] bool on_head(const response_head& head) { return do_head(head); }
+    void on_body(std::string_view bytes) { do_body(bytes); }
+    void on_whole() { do_whole(); }
+    void on_failed(call_failure how) { do_failed(how); }
+
+protected:
+    call_events() = default;
+    call_events(const call_events&) = default;
+    call_events& operator=(const call_events&) = default;
+    [[nodiscard]] virtual bool do_head(const response_head& head) = 0;
+    virtual void do_body(std::string_view bytes) = 0;
+    virtual void do_whole() = 0;
+    virtual void do_failed(call_failure how) = 0;
+};
+
+struct call_options {
+    micros connect_timeout{std::chrono::seconds(1)};
+    /// Longest time to the end of the response; 0 is no limit.
+    micros timeout{0};
+    /// A kept connection is used only when it has been idle for less; 0 always makes a new one.
+    micros max_idle{std::chrono::seconds(4)};
+};
+
+/// A running call. Destroying it cancels: its connection is closed.
+class http1_call {
+public:
+    http1_call() = default;
+    virtual ~http1_call() = default;
+    http1_call(const http1_call&) = delete;
+    http1_call& operator=(const http1_call&) = delete;
+
+    /// Stops and resumes reading the response, when its receiver cannot keep up.
+    void pause() { do_set_reading(false); }
+    void resume() { do_set_reading(true); }
+
+protected:
+    virtual void do_set_reading(bool wanted) = 0;
+};
+
+/// Makes HTTP/1.1 calls on kept connections, one at a time on each.
+class http1_client {
+public:
+    /// The loop and clock must outlive the client.
+    http1_client(event_loop& loop, const clock& time);
+    ~http1_client();
+    http1_client(const http1_client&) = delete;
+    http1_client& operator=(const http1_client&) = delete;
+
+    /// Sends `request`, which is serialized already. `events` must outlive the call. No event comes
+    /// before this returns.
+    [[nodiscard]] std::unique_ptr<http1_call>
+    call(const endpoint& to, std::string request, const call_options& options, call_events& events);
+    /// Connections to `to`, in use or kept.
+    [[nodiscard]] std::size_t connections_to(const endpoint& to) const;
+    /// Connections made since the start.
+    [[nodiscard]] std::uint64_t connections_made() const;
+
+    struct shared_state;
+
+private:
+    std::shared_ptr<shared_state> state_;
+};
+
+/// A whole response, or how the call failed.
+struct whole_response {
+    int status = 0;
+    header_list headers;
+    std::string body;
+};
+using response_handler = std::function<void(const whole_response*, call_failure)>;
+
+/// Collects the response of a small call, such as one to the platform, and hands it over in one.
+/// Null tells that the call failed.
+class collected_call final : public call_events {
+public:
+    /// Responses larger than this fail.
+    static constexpr std::size_t max_bytes = 16U << 20U;
+
+    static std::unique_ptr<collected_call> start(http1_client& client, const endpoint& to,
+                                                 std::string request, const call_options& options,
+                                                 response_handler handler);
+
+protected:
+    [[nodiscard]] bool do_head(const response_head& head) override;
+    void do_body(std::string_view bytes) override;
+    void do_whole() override;
+    void do_failed(call_failure how) override;
+
+private:
+    explicit collected_call(response_handler handler) : handler_(std::move(handler)) {}
+
+    response_handler handler_;
+    whole_response response_;
+    bool too_large_ = false;
+    std::unique_ptr<http1_call> call_;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/include/jujubetide/http1/message_parser.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "jujubetide/http1/message.h"
+
+#include <cstddef>
+#include <memory>
+#include <string_view>
+
+namespace jujubetide {
+
+/// Receives the parts of one message.
+class message_events {
+public:
+    virtual ~message_events() = default;
+    void on_request_head(request_head head) { do_request_head(std::move(head)); }
+    void on_response_head(response_head head) { do_response_head(std::move(head)); }
+    void on_body(std::string_view bytes) { do_body(bytes); }
+
+protected:
+    message_events() = default;
+    message_events(const message_events&) = default;
+    message_events& operator=(const message_events&) = default;
+    virtual void do_request_head(request_head) {}
+    virtual void do_response_head(response_head) {}
+    virtual void do_body(std::string_view bytes) = 0;
+};
+
+enum class parse_state { incomplete, complete, malformed };
+
+/// Reads HTTP/1.1 messages from a connection's bytes, strictly: a message whose framing is unclear
+/// is malformed. Not thread-safe.
+class message_parser {
+public:
+    enum class kind { request, response };
+
+    /// `max_head_bytes` bounds the first line and the headers; 0 is no bound.
+    message_parser(kind of, message_events& events, std::size_t max_head_bytes = 0);
+    ~message_parser();
+    message_parser(const message_parser&) = delete;
+    message_parser& operator=(const message_parser&) = delete;
+
+    /// Takes bytes up to the end of the message at most; returns how many.
+    std::size_t feed(std::string_view bytes);
+    /// The connection was closed in order; ends a body that lasts until then.
+    void feed_end();
+    /// Makes ready for the next message on the connection.
+    void restart();
+
+    [[nodiscard]] parse_state state() const { return state_; }
+    /// Whether a byte of the current message has come.
+    [[nodiscard]] bool has_begun() const { return begun_; }
+    [[nodiscard]] bool head_is_complete() const { return head_complete_; }
+    [[nodiscard]] bool head_is_too_large() const { return too_large_; }
+
+private:
+    struct native;
+    friend struct native;
+
+    kind kind_;
+    message_events& events_;
+    std::size_t max_head_bytes_;
+    std::unique_ptr<native> native_;
+    parse_state state_ = parse_state::incomplete;
+    bool begun_ = false;
+    bool head_complete_ = false;
+    bool too_large_ = false;
+    std::size_t head_bytes_ = 0;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/include/jujubetide/net/tcp_connection.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "jujubetide/base/endpoint.h"
+#include "jujubetide/base/units.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace jujubetide {
+
+class event_loop;
+
+/// How the peer's side of a connection ended.
+enum class connection_end {
+    /// The peer closed after its last byte.
+    closed,
+    /// Reset, timed out, or not established.
+    failed,
+};
+
+/// Receives the events of one connection. No event comes after `on_end`, nor after the owner closed
+/// the connection.
+class connection_events {
+public:
+    virtual ~connection_events() = default;
+    void on_connected() { do_connected(); }
+    void on_data(std::string_view bytes) { do_data(bytes); }
+    /// The bytes that waited to be sent have fallen below `tcp_connection::low_water`.
+    void on_drained() { do_drained(); }
+    void on_end(connection_end end) { do_end(end); }
+
+protected:
+    connection_events() = default;
+    connection_events(const connection_events&) = default;
+    connection_events& operator=(const connection_events&) = default;
+    virtual void do_connected() {}
+    virtual void do_data(std::string_view bytes) = 0;
+    virtual void do_drained() {}
+    virtual void do_end(connection_end end) = 0;
+};
+
+/// A TCP connection on an event loop. Dead peers are found by keep-alive probes and by a limit on
+/// the time that sent bytes stay unacknowledged.
+class tcp_connection {
+public:
+    /// A sender should pause above this many waiting bytes, and go on below `low_water`.
+    static constexpr std::size_t high_water = 256U * 1024U;
+    static constexpr std::size_t low_water = 64U * 1024U;
+
+    /// Begins to connect. `events` must outlive the connection or be removed by `close`.
+    static std::shared_ptr<tcp_connection> connect(event_loop& loop, const endpoint& to,
+                                                   connection_events& events);
+
+    virtual ~tcp_connection() = default;
+    tcp_connection(const tcp_connection&) = delete;
+    tcp_connection& operator=(const tcp_connection&) = delete;
+
+    void set_events(connection_events& events) { do_set_events(events); }
+    /// Sends `bytes` in order, now or as the peer takes them.
+    void write(std::string_view bytes) { do_write(bytes); }
+    /// Bytes that the system has not taken yet.
+    [[nodiscard]] std::size_t waiting_bytes() const { return do_waiting_bytes(); }
+    void pause_reading() { do_set_reading(false); }
+    void resume_reading() { do_set_reading(true); }
+    /// Sends what waits, then closes. No further events.
+    void close() { do_close(false); }
+    /// Closes at once with a reset, so that the peer cannot take what it got for complete.
+    void reset() { do_close(true); }
+    [[nodiscard]] bool is_open() const { return do_is_open(); }
+
+protected:
+    tcp_connection() = default;
+    virtual void do_set_events(connection_events& events) = 0;
+    virtual void do_write(std::string_view bytes) = 0;
+    [[nodiscard]] virtual std::size_t do_waiting_bytes() const = 0;
+    virtual void do_set_reading(bool wanted) = 0;
+    virtual void do_close(bool reset) = 0;
+    [[nodiscard]] virtual bool do_is_open() const = 0;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/include/jujubetide/node/fleet_calls.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "jujubetide/base/ids.h"
+#include "jujubetide/serving/usage_ledger.h"
+
+#include <absl/status/status.h>
+
+#include <functional>
+
+namespace jujubetide {
+
+/// How many backend servers of a service are wanted in a failure domain.
+struct server_order {
+    service_id service;
+    failure_domain_id failure_domain;
+    bool reclaimable = false;
+    unsigned count = 0;
+
+    friend bool operator==(const server_order&, const server_order&) = default;
+};
+
+/// Calls to the platform that one node makes for all, under a lease. Handlers are called later,
+/// once.
+///
+/// Errors: Unavailable, the call was not taken; DeadlineExceeded, it may have been; Aborted, an
+/// order that cannot be met at present.
+class fleet_calls {
+public:
+    using handler = std::function<void(const absl::Status&)>;
+
+    /// In whose name a call is made.
+    struct authority {
+        node_id holder;
+        fencing_number fencing;
+    };
+
+    virtual ~fleet_calls() = default;
+    void report_usage(const authority& by, usage_window window, const usage_counts& counts,
+                      handler done) {
+        do_report_usage(by, window, counts, std::move(done));
+    }
+    void order_servers(const authority& by, const server_order& order, handler done) {
+        do_order_servers(by, order, std::move(done));
+    }
+
+protected:
+    fleet_calls() = default;
+    fleet_calls(const fleet_calls&) = default;
+    fleet_calls& operator=(const fleet_calls&) = default;
+    virtual void do_report_usage(const authority& by, usage_window window,
+                                 const usage_counts& counts, handler done) = 0;
+    virtual void do_order_servers(const authority& by, const server_order& order, handler done) = 0;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/include/jujubetide/node/row_decoder.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "jujubetide/serving/backend_list.h"
+#include "jujubetide/serving/serving_config.h"
+
+#include <absl/status/statusor.h>
+
+#include <string>
+
+namespace jujubetide {
+
+/// Reads what operators and backend servers write into the store. InvalidArgument where a row makes
+/// no sense; it may come from another writer.
+class row_decoder {
+public:
+    virtual ~row_decoder() = default;
+    [[nodiscard]] absl::StatusOr<serving_config::parts> config(const std::string& value) const {
+        return do_config(value);
+    }
+    [[nodiscard]] absl::StatusOr<backend_server> registration(const backend_server_id& id,
+                                                              const std::string& value) const {
+        return do_registration(id, value);
+    }
+
+protected:
+    row_decoder() = default;
+    row_decoder(const row_decoder&) = default;
+    row_decoder& operator=(const row_decoder&) = default;
+    [[nodiscard]] virtual absl::StatusOr<serving_config::parts>
+    do_config(const std::string& value) const = 0;
+    [[nodiscard]] virtual absl::StatusOr<backend_server>
+    do_registration(const backend_server_id& id, const std::string& value) const = 0;
+};
+
+/// Where the platform keeps what others write.
+struct shared_tables {
+    std::string config_table;
+    std::string config_key;
+    std::string registration_table;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/include/jujubetide/serving/demand_meter.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "jujubetide/base/ids.h"
+#include "jujubetide/base/units.h"
+
+#include <map>
+
+namespace jujubetide {
+
+/// Measures how much of the backend servers' time the calls of each service need: the seconds of
+/// work of one server that arrive in a second, smoothed. Not thread-safe.
+class demand_meter {
+public:
+    void add(const service_id& service, double server_seconds, time_point now);
+    /// Mean number of servers that the calls keep busy.
+    [[nodiscard]] double servers_needed(const service_id& service, time_point now) const;
+    [[nodiscard]] std::map<service_id, double> all(time_point now) const;
+
+private:
+    struct smoothed {
+        double rate = 0.0;
+        time_point updated{};
+    };
+    std::map<service_id, smoothed> services_;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/include/jujubetide/serving/load_board.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "jujubetide/base/ids.h"
+#include "jujubetide/base/units.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <map>
+
+namespace jujubetide {
+
+/// Work at one backend server.
+struct server_load {
+    std::uint32_t running = 0;
+    /// Prompt tokens to read of calls that have not begun to answer.
+    std::uint64_t unread_tokens = 0;
+    /// Tokens that the running calls hold in memory, or will.
+    std::uint64_t held_tokens = 0;
+
+    friend bool operator==(const server_load&, const server_load&) = default;
+};
+
+using server_loads = std::map<backend_server_id, server_load>;
+
+/// Work that this node and its peers have sent and that has not ended. Not thread-safe.
+class load_board {
+public:
+    void on_sent(const backend_server_id& id, std::uint64_t unread, std::uint64_t held);
+    void on_begun(const backend_server_id& id, std::uint64_t unread);
+    /// `unread` is 0 for a call that had begun.
+    void on_ended(const backend_server_id& id, std::uint64_t unread, std::uint64_t held);
+
+    [[nodiscard]] const server_loads& own() const { return own_; }
+    /// Replaces what a peer said before.
+    void set_peer(const node_id& node, server_loads loads);
+    void forget_peer(const node_id& node) { set_peer(node, {}); }
+    /// Work of all nodes at a server.
+    [[nodiscard]] server_load total(const backend_server_id& id) const;
+
+private:
+    server_loads own_;
+    std::map<node_id, server_loads> peers_;
+    /// Sums over the peers.
+    absl::flat_hash_map<backend_server_id, server_load> peer_sums_;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/include/jujubetide/serving/serving_config.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "jujubetide/base/ids.h"
+#include "jujubetide/base/units.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubetide {
+
+/// What may be done again with a call of a route.
+enum class call_kind {
+    /// May run more than once.
+    idempotent,
+    /// Runs at most once.
+    non_idempotent,
+    /// Answered by a stream of events; runs at most once unless the route is resumable.
+    streaming,
+};
+
+struct weighted_service {
+    service_id service;
+    double weight = 1.0;
+};
+
+struct serving_route {
+    route_id id;
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string prefix;
+    call_kind kind = call_kind::non_idempotent;
+    /// Longest time that a call may take.
+    millis timeout{30'000};
+    /// Time to the answer, or to a stream's first event, that callers expect.
+    millis target{1'000};
+    /// Longest expected pause between a stream's events.
+    millis max_pause{500};
+    /// 0 is the most urgent.
+    int priority = 5;
+    /// Backend servers to which one call may be sent.
+    int max_attempts = 1;
+    /// Whether calls need no customer's key.
+    bool is_public = false;
+    /// Whether a broken stream may go on at another backend server.
+    bool is_resumable = false;
+    /// At least one.
+    std::vector<weighted_service> services;
+};
+
+/// What the model engines of a service can do.
+struct engine_traits {
+    std::size_t slots = 1;
+    token_count kv_tokens;
+    /// Tokens in one event of a stream.
+    std::uint32_t tokens_per_event = 1;
+};
+
+/// How many backend servers may be ordered for a service, in each failure domain.
+struct scaling_limits {
+    unsigned min = 0;
+    unsigned max = 0;
+    /// From an order until the server serves.
+    millis boot_time{0};
+    /// Price of a reclaimable server as a part of the usual one's; absent where there are none.
+    std::optional<double> reclaimable_price;
+    /// Price of a server for each second.
+    std::map<failure_domain_id, double> prices;
+};
+
+struct serving_service {
+    service_id id;
+    std::string health_path;
+    /// Connections that a backend server accepts from all callers together.
+    std::size_t max_connections = 0;
+    /// Absent for plain services.
+    std::optional<engine_traits> engine;
+    std::optional<scaling_limits> scaling;
+};
+
+struct serving_customer {
+    customer_id id;
+    std::vector<std::string> keys;
+    /// Goes before the route's priority.
+    std::optional<int> priority;
+    /// Usage cap; 0 is none.
+    double cap_per_second = 0.0;
+    double cap_burst = 0.0;
+    /// Whether the cap counts tokens rather than calls.
+    bool cap_in_tokens = false;
+    /// What a call without a token count uses up.
+    double plain_usage = 1.0;
+};
+
+struct caller_limits {
+    std::size_t max_header_bytes = 16'384;
+    std::size_t max_body_bytes = 4U << 20U;
+    millis header_timeout{3'000};
+    millis idle_timeout{15'000};
+};
+
+/// The operators' configuration at one version. Immutable.
+class serving_config {
+public:
+    struct parts {
+        std::uint64_t version = 0;
+        std::vector<serving_route> routes;
+        std::vector<serving_service> services;
+        std::vector<serving_customer> customers;
+        caller_limits limits;
+    };
+
+    static std::shared_ptr<const serving_config> make(parts checked_parts);
+
+    [[nodiscard]] std::uint64_t version() const { return parts_.version; }
+    [[nodiscard]] const std::vector<serving_route>& routes() const { return parts_.routes; }
+    [[nodiscard]] const std::vector<serving_service>& services() const { return parts_.services; }
+    [[nodiscard]] const std::vector<serving_customer>& customers() const {
+        return parts_.customers;
+    }
+    [[nodiscard]] const caller_limits& limits() const { return parts_.limits; }
+
+    /// The route of `host` with the longest prefix of `target`'s path, or null.
+    [[nodiscard]] const serving_route* find_route(std::string_view host,
+                                                  std::string_view target) const;
+    [[nodiscard]] const serving_service* find_service(const service_id& id) const;
+    [[nodiscard]] const serving_customer* find_customer(const customer_id& id) const;
+    /// The holder of a key, or null.
+    [[nodiscard]] const serving_customer* find_key(std::string_view key) const;
+
+private:
+    explicit serving_config(parts checked_parts);
+
+    parts parts_;
+    /// Routes of each host by prefix.
+    absl::flat_hash_map<std::string, absl::flat_hash_map<std::string, std::size_t>> routes_;
+    absl::flat_hash_map<std::string, std::size_t> keys_;
+};
+
+using serving_config_ptr = std::shared_ptr<const serving_config>;
+
+} // namespace jujubetide
--- /dev/null
+++ b/include/jujubetide/serving/usage_ledger.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "jujubetide/base/ids.h"
+#include "jujubetide/base/units.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace jujubetide {
+
+/// Number of a time window: its start, counted from 1970, divided by the windows' length.
+using usage_window = strong_number<struct usage_window_tag, std::int64_t>;
+using usage_counts = std::map<customer_id, std::uint64_t>;
+
+/// Counts the calls of each customer that backend servers began, by window, over all nodes. Not
+/// thread-safe.
+class usage_ledger {
+public:
+    /// Windows that are kept.
+    static constexpr std::int64_t kept_windows = 6;
+
+    explicit usage_ledger(millis window_length) : length_(window_length) {}
+
+    [[nodiscard]] usage_window window_at(wall_time at) const;
+    [[nodiscard]] wall_time end_of(usage_window window) const;
+
+    void count(const customer_id& customer, wall_time began);
+    /// This node's counts of the windows that are kept, for the others.
+    [[nodiscard]] const std::map<usage_window, usage_counts>& own() const { return own_; }
+    /// Takes the counts of one start of another node; they replace what it said before.
+    void on_peer_counts(const node_id& node, incarnation start, usage_window window,
+                        const usage_counts& counts);
+    /// All that is known of a window.
+    [[nodiscard]] usage_counts total(usage_window window) const;
+
+private:
+    void trim(usage_window newest);
+
+    millis length_;
+    std::map<usage_window, usage_counts> own_;
+    std::map<usage_window, std::map<std::pair<node_id, incarnation>, usage_counts>> peers_;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/include/jujubetide/store/table_follower.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "jujubetide/base/clock.h"
+#include "jujubetide/base/random_source.h"
+#include "jujubetide/base/timer_service.h"
+#include "jujubetide/store/row_store.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jujubetide {
+
+/// Takes the contents of one table as they change.
+class table_observer {
+public:
+    virtual ~table_observer() = default;
+    /// The whole table was read; it replaces everything before.
+    void on_table(const std::vector<stored_row>& rows) { do_table(rows); }
+    void on_changes(const std::vector<stored_row>& rows) { do_changes(rows); }
+    /// The store stopped answering for this table.
+    void on_away(const absl::Status& why) { do_away(why); }
+    /// It answers again; the table's newer contents come right after.
+    void on_back() { do_back(); }
+
+protected:
+    table_observer() = default;
+    table_observer(const table_observer&) = default;
+    table_observer& operator=(const table_observer&) = default;
+    virtual void do_table(const std::vector<stored_row>& rows) = 0;
+    virtual void do_changes(const std::vector<stored_row>& rows) = 0;
+    virtual void do_away(const absl::Status&) {}
+    virtual void do_back() {}
+};
+
+struct follower_options {
+    /// How long the store may hold a call for changes back.
+    millis wait{10'000};
+    /// Shortest time between the starts of two calls, so that changes in quick succession come
+    /// together.
+    micros least_interval{200'000};
+    /// Waits after failures grow from the first to the second.
+    micros first_retry{200'000};
+    micros longest_retry{800'000};
+};
+
+/// Keeps an observer up to date with one table: reads it, then asks for changes, and reads it again
+/// when the history is gone. Runs on an event loop.
+class table_follower {
+public:
+    /// What is passed in must outlive the follower.
+    table_follower(row_store& store, timer_service& timers, const clock& time,
+                   random_source& random, std::string table, table_observer& observer,
+                   follower_options options = {});
+
+    void start();
+
+    /// The version up to which the observer knows the table.
+    [[nodiscard]] row_version at() const { return at_; }
+    [[nodiscard]] bool is_loaded() const { return loaded_; }
+    [[nodiscard]] bool is_away() const { return away_; }
+
+private:
+    void read(const std::string& from);
+    void on_read(const std::string& from, absl::StatusOr<row_batch> batch);
+    void ask();
+    void on_answer(absl::StatusOr<row_batch> batch);
+    void failed(const absl::Status& why);
+    void answered();
+    void later(micros delay);
+
+    row_store& store_;
+    timer_service& timers_;
+    const clock& clock_;
+    random_source& random_;
+    std::string table_;
+    table_observer& observer_;
+    follower_options options_;
+    std::unique_ptr<timer_subscription> timer_;
+    /// Rows of the pages that were read so far.
+    std::vector<stored_row> pages_;
+    row_version pages_at_;
+    row_version at_;
+    bool loaded_ = false;
+    bool reload_ = true;
+    bool away_ = false;
+    micros retry_{0};
+    time_point asked_{};
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/http1/server_connection.cc
@@ -0,0 +1,271 @@
+#include "http1/server_connection.h"
+
+#include <utility>
+
+namespace jujubetide {
+namespace {
+
+/// Bytes of further requests that are kept while one is answered.
+constexpr std::size_t max_next_bytes = 64U * 1024U;
+/// How long input is still read and thrown away after a final response, so that closing does not
+/// reset the connection before the caller has read the response.
+constexpr micros linger_time{1'000'000};
+
+constexpr int bad_request = 400;
+constexpr int request_timeout = 408;
+constexpr int payload_too_large = 413;
+constexpr int header_fields_too_large = 431;
+
+/// A response that keeps its connection alive through the owner's reference.
+class server_exchange final : public http1_exchange {
+public:
+    explicit server_exchange(std::shared_ptr<server_connection> connection)
+        : connection_(std::move(connection)) {}
+
+protected:
+    void do_begin(int status, const header_list& headers, body_framing framing,
+                  std::uint64_t content_length) override {
+        connection_->begin_response(status, headers, framing, content_length);
+    }
+    void do_write(std::string_view body) override { connection_->write_body(body); }
+    void do_finish() override { connection_->finish_response(); }
+    void do_abort() override { connection_->abort_response(); }
+    [[nodiscard]] std::size_t do_waiting_bytes() const override {
+        return connection_->waiting_bytes();
+    }
+
+private:
+    std::shared_ptr<server_connection> connection_;
+};
+
+} // namespace
+
+server_connection::server_connection(http1_server& server,
+                                     std::shared_ptr<tcp_connection> connection)
+    : server_(server), connection_(std::move(connection)),
+      parser_(message_parser::kind::request, *this, server.limits_.max_head_bytes),
+      last_active_(server.clock_.now()) {}
+
+void server_connection::do_data(std::string_view bytes) {
+    const auto alive = shared_from_this();
+    if (state_ == state::lingering || state_ == state::over) {
+        return;
+    }
+    if (state_ == state::responding) {
+        next_bytes_ += bytes;
+        if (next_bytes_.size() > max_next_bytes) {
+            connection_->pause_reading();
+        }
+        return;
+    }
+    last_active_ = server_.clock_.now();
+    take(bytes);
+}
+
+void server_connection::take(std::string_view bytes) {
+    const bool had_begun = parser_.has_begun();
+    const std::size_t taken = parser_.feed(bytes);
+    if (!had_begun && parser_.has_begun()) {
+        request_began_ = last_active_;
+    }
+    if (body_too_large_) {
+        refuse(payload_too_large);
+        return;
+    }
+    switch (parser_.state()) {
+    case parse_state::incomplete:
+        return;
+    case parse_state::malformed:
+        refuse(parser_.head_is_too_large() ? header_fields_too_large : bad_request);
+        return;
+    case parse_state::complete:
+        next_bytes_ += bytes.substr(taken);
+        dispatch();
+        return;
+    }
+}
+
+void server_connection::do_request_head(request_head head) {
+    head_ = std::move(head);
+    body_.clear();
+    if (head_.content_length.value_or(0) > server_.limits_.max_body_bytes) {
+        body_too_large_ = true;
+        return;
+    }
+    if (const auto expect = head_.headers.find("Expect");
+        expect && has_token(*expect, "100-continue") && head_.has_body()) {
+        connection_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void server_connection::do_body(std::string_view bytes) {
+    if (body_too_large_ || body_.size() + bytes.size() > server_.limits_.max_body_bytes) {
+        body_too_large_ = true;
+        return;
+    }
+    body_ += bytes;
+}
+
+void server_connection::dispatch() {
+    state_ = state::responding;
+    keep_alive_ = head_.keep_alive;
+    in_dispatch_ = true;
+    auto events = server_.handler_.on_request(
+        std::exchange(head_, {}), std::exchange(body_, {}), request_began_,
+        std::make_shared<server_exchange>(shared_from_this()));
+    in_dispatch_ = false;
+    if (state_ == state::responding) {
+        exchange_ = std::move(events);
+        return;
+    }
+    read_next();
+}
+
+void server_connection::begin_response(int status, const header_list& headers, body_framing framing,
+                                       std::uint64_t content_length) {
+    if (state_ != state::responding) {
+        return;
+    }
+    response_framing_ = framing;
+    keep_alive_ = keep_alive_ && !server_.closing_ && framing != body_framing::until_close;
+    if (keep_alive_) {
+        connection_->write(serialize_response_head(status, headers, framing, content_length));
+        return;
+    }
+    header_list closing = headers;
+    closing.add("Connection", "close");
+    connection_->write(serialize_response_head(status, closing, framing, content_length));
+}
+
+void server_connection::write_body(std::string_view body) {
+    if (state_ != state::responding || body.empty()) {
+        return;
+    }
+    if (response_framing_ == body_framing::chunked) {
+        connection_->write(serialize_chunk(body));
+    } else {
+        connection_->write(body);
+    }
+}
+
+void server_connection::finish_response() {
+    if (state_ != state::responding) {
+        return;
+    }
+    const auto alive = shared_from_this();
+    if (response_framing_ == body_framing::chunked) {
+        connection_->write(last_chunk);
+    }
+    exchange_.reset();
+    if (!keep_alive_) {
+        linger();
+        return;
+    }
+    state_ = state::reading;
+    parser_.restart();
+    last_active_ = server_.clock_.now();
+    if (!in_dispatch_) {
+        read_next();
+    }
+}
+
+void server_connection::abort_response() {
+    if (state_ != state::responding) {
+        return;
+    }
+    const auto alive = shared_from_this();
+    exchange_.reset();
+    drop();
+}
+
+void server_connection::read_next() {
+    if (state_ != state::reading) {
+        return;
+    }
+    connection_->resume_reading();
+    if (!next_bytes_.empty()) {
+        take(std::exchange(next_bytes_, {}));
+    }
+}
+
+void server_connection::refuse(int status) {
+    state_ = state::responding;
+    keep_alive_ = false;
+    header_list headers;
+    headers.add("Content-Type", "application/json");
+    const std::string body = server_.handler_.error_body(status);
+    begin_response(status, headers, body_framing::length, body.size());
+    write_body(body);
+    finish_response();
+}
+
+void server_connection::linger() {
+    state_ = state::lingering;
+    last_active_ = server_.clock_.now();
+    connection_->resume_reading();
+    if (!parser_.has_begun() || parser_.state() == parse_state::complete) {
+        drop();
+    }
+}
+
+void server_connection::check_times(time_point now) {
+    const micros silent = now - last_active_;
+    switch (state_) {
+    case state::lingering:
+        if (silent >= linger_time) {
+            drop();
+        }
+        return;
+    case state::reading:
+        if (parser_.has_begun() && !parser_.head_is_complete() &&
+            now - request_began_ >= server_.limits_.head_timeout) {
+            refuse(request_timeout);
+        } else if (silent >= server_.limits_.idle_timeout) {
+            if (parser_.has_begun()) {
+                refuse(request_timeout);
+            } else {
+                drop();
+            }
+        }
+        return;
+    case state::responding:
+    case state::over:
+        return;
+    }
+}
+
+void server_connection::close_if_idle() {
+    if (state_ == state::reading && !parser_.has_begun()) {
+        drop();
+    }
+}
+
+void server_connection::drop() {
+    const auto alive = shared_from_this();
+    state_ = state::over;
+    connection_->close();
+    remove();
+}
+
+void server_connection::do_drained() {
+    const auto alive = shared_from_this();
+    if (exchange_) {
+        const auto events = exchange_;
+        events->on_drained();
+    }
+}
+
+void server_connection::do_end(connection_end) {
+    const auto alive = shared_from_this();
+    state_ = state::over;
+    if (const auto events = std::exchange(exchange_, nullptr)) {
+        events->on_caller_gone();
+    }
+    remove();
+}
+
+void server_connection::remove() {
+    server_.connections_.erase(shared_from_this());
+}
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/http1/server_connection.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "jujubetide/http1/http1_server.h"
+#include "jujubetide/http1/message_parser.h"
+
+#include <memory>
+#include <string>
+
+namespace jujubetide {
+
+/// One caller's connection: reads requests one after the other and sends their responses.
+class server_connection final : public connection_events,
+                                public message_events,
+                                public std::enable_shared_from_this<server_connection> {
+public:
+    server_connection(http1_server& server, std::shared_ptr<tcp_connection> connection);
+
+    void start() { connection_->set_events(*this); }
+    /// Applies the time limits.
+    void check_times(time_point now);
+    void close_if_idle();
+    /// Ends the connection without any response.
+    void drop();
+
+    void begin_response(int status, const header_list& headers, body_framing framing,
+                        std::uint64_t content_length);
+    void write_body(std::string_view body);
+    void finish_response();
+    void abort_response();
+    [[nodiscard]] std::size_t waiting_bytes() const { return connection_->waiting_bytes(); }
+
+protected:
+    void do_data(std::string_view bytes) override;
+    void do_drained() override;
+    void do_end(connection_end end) override;
+    void do_request_head(request_head head) override;
+    void do_body(std::string_view bytes) override;
+
+private:
+    enum class state { reading, responding, lingering, over };
+
+    void read_next();
+    void take(std::string_view bytes);
+    void dispatch();
+    void refuse(int status);
+    void linger();
+    void remove();
+
+    http1_server& server_;
+    std::shared_ptr<tcp_connection> connection_;
+    message_parser parser_;
+    state state_ = state::reading;
+    request_head head_;
+    std::string body_;
+    bool body_too_large_ = false;
+    /// Bytes that came after the current request.
+    std::string next_bytes_;
+    std::shared_ptr<exchange_events> exchange_;
+    body_framing response_framing_ = body_framing::none;
+    bool keep_alive_ = true;
+    bool in_dispatch_ = false;
+    time_point request_began_{};
+    time_point last_active_{};
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/net/uv_tcp_connection.cc
@@ -0,0 +1,246 @@
+// The system is asked to take bytes at once; only what it does not take is copied and queued.
+#include "net/uv_tcp_connection.h"
+
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace jujubetide {
+namespace {
+
+/// Seconds of silence before the first probe, and between probes.
+constexpr int probe_interval_s = 1;
+/// Probes without an answer after which the connection counts as dead.
+constexpr int probe_count = 2;
+/// Longest time for which sent bytes may stay unacknowledged, in milliseconds.
+constexpr unsigned int user_timeout_ms = 3'000;
+
+struct queued_write {
+    uv_write_t request{};
+    std::string bytes;
+};
+
+} // namespace
+
+uv_tcp_connection::uv_tcp_connection(event_loop& loop) : loop_(loop) {
+    uv_tcp_init(loop_.native(), &handle_);
+    handle_.data = this;
+}
+
+std::shared_ptr<tcp_connection> tcp_connection::connect(event_loop& loop, const endpoint& to,
+                                                        connection_events& events) {
+    auto made = std::make_shared<uv_tcp_connection>(loop);
+    made->begin_connect(to, events);
+    return made;
+}
+
+void uv_tcp_connection::begin_connect(const endpoint& to, connection_events& events) {
+    events_ = &events;
+    self_ = shared_from_this();
+    open_ = true;
+    sockaddr_in address{};
+    uv_ip4_addr(to.address.c_str(), to.port, &address);
+    connect_.data = this;
+    const int result = uv_tcp_connect(&connect_, &handle_,
+                                      reinterpret_cast<const sockaddr*>(&address), on_connect);
+    if (result != 0) {
+        // The event must not come before the caller holds the connection.
+        connect_.type = UV_UNKNOWN_REQ;
+        finish_close();
+    }
+}
+
+bool uv_tcp_connection::accept(uv_stream_t* listener) {
+    self_ = shared_from_this();
+    open_ = true;
+    established_ = true;
+    if (uv_accept(listener, stream()) != 0) {
+        finish_close();
+        return false;
+    }
+    keep_alive();
+    return true;
+}
+
+void uv_tcp_connection::keep_alive() {
+    uv_os_fd_t fd = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_), &fd) != 0) {
+        return;
+    }
+    constexpr int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_interval_s, sizeof probe_interval_s);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_interval_s, sizeof probe_interval_s);
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probe_count, sizeof probe_count);
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof user_timeout_ms);
+}
+
+void uv_tcp_connection::on_connect(uv_connect_t* request, int status) {
+    auto* self = static_cast<uv_tcp_connection*>(request->data);
+    if (!self->open_) {
+        return;
+    }
+    if (status != 0) {
+        self->end(connection_end::failed);
+        return;
+    }
+    self->established_ = true;
+    self->keep_alive();
+    const auto alive = self->shared_from_this();
+    self->do_set_reading(true);
+    if (self->events_ != nullptr) {
+        self->events_->on_connected();
+    }
+}
+
+void uv_tcp_connection::on_read(uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer) {
+    auto* self = static_cast<uv_tcp_connection*>(stream->data);
+    if (!self->open_ || count == 0) {
+        return;
+    }
+    if (count < 0) {
+        self->end(count == UV_EOF ? connection_end::closed : connection_end::failed);
+        return;
+    }
+    const auto alive = self->shared_from_this();
+    if (self->events_ != nullptr) {
+        self->events_->on_data({buffer->base, static_cast<std::size_t>(count)});
+    }
+}
+
+void uv_tcp_connection::on_written(uv_write_t* request, int status) {
+    auto* self = static_cast<uv_tcp_connection*>(request->handle->data);
+    const auto alive = self->shared_from_this();
+    delete static_cast<queued_write*>(request->data);
+    if (self->closing_after_writes_ && self->do_waiting_bytes() == 0) {
+        self->finish_close();
+        return;
+    }
+    if (!self->open_) {
+        return;
+    }
+    if (status != 0) {
+        self->end(connection_end::failed);
+        return;
+    }
+    if (self->congested_ && self->do_waiting_bytes() < low_water) {
+        self->congested_ = false;
+        if (self->events_ != nullptr) {
+            self->events_->on_drained();
+        }
+    }
+}
+
+void uv_tcp_connection::do_set_events(connection_events& events) {
+    events_ = &events;
+    do_set_reading(true);
+}
+
+void uv_tcp_connection::do_write(std::string_view bytes) {
+    if (!open_ || closing_after_writes_ || bytes.empty()) {
+        return;
+    }
+    if (established_ && uv_stream_get_write_queue_size(stream()) == 0) {
+        uv_buf_t now =
+            uv_buf_init(const_cast<char*>(bytes.data()), static_cast<unsigned int>(bytes.size()));
+        const int taken = uv_try_write(stream(), &now, 1);
+        if (taken > 0) {
+            bytes.remove_prefix(static_cast<std::size_t>(taken));
+        }
+        if (bytes.empty()) {
+            return;
+        }
+    }
+    auto* write = new queued_write;
+    write->bytes = std::string(bytes);
+    write->request.data = write;
+    const uv_buf_t buffer =
+        uv_buf_init(write->bytes.data(), static_cast<unsigned int>(write->bytes.size()));
+    if (uv_write(&write->request, stream(), &buffer, 1, on_written) != 0) {
+        delete write; // The end of the connection follows as a read event.
+        return;
+    }
+    congested_ = congested_ || do_waiting_bytes() > high_water;
+}
+
+std::size_t uv_tcp_connection::do_waiting_bytes() const {
+    return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&handle_));
+}
+
+void uv_tcp_connection::do_set_reading(bool wanted) {
+    if (!open_ || !established_ || wanted == reading_) {
+        return;
+    }
+    reading_ = wanted;
+    if (!wanted) {
+        uv_read_stop(stream());
+        return;
+    }
+    uv_read_start(
+        stream(),
+        [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
+            const auto space = static_cast<uv_tcp_connection*>(handle->data)->loop_.read_buffer();
+            *buffer = uv_buf_init(space.data(), static_cast<unsigned int>(space.size()));
+        },
+        on_read);
+}
+
+void uv_tcp_connection::do_close(bool reset) {
+    events_ = nullptr;
+    if (!open_ && !closing_after_writes_) {
+        return;
+    }
+    open_ = false;
+    if (reset && established_) {
+        const auto alive = self_;
+        closing_after_writes_ = false;
+        if (uv_is_closing(reinterpret_cast<uv_handle_t*>(&handle_)) == 0 &&
+            uv_tcp_close_reset(&handle_, [](uv_handle_t* handle) {
+                static_cast<uv_tcp_connection*>(handle->data)->self_.reset();
+            }) == 0) {
+            return;
+        }
+        finish_close();
+        return;
+    }
+    if (established_ && do_waiting_bytes() > 0) {
+        if (reading_) {
+            uv_read_stop(stream());
+            reading_ = false;
+        }
+        closing_after_writes_ = true;
+        return;
+    }
+    finish_close();
+}
+
+void uv_tcp_connection::end(connection_end how) {
+    const auto alive = shared_from_this();
+    open_ = false;
+    finish_close();
+    if (events_ != nullptr) {
+        std::exchange(events_, nullptr)->on_end(how);
+    }
+}
+
+void uv_tcp_connection::finish_close() {
+    open_ = false;
+    closing_after_writes_ = false;
+    auto* handle = reinterpret_cast<uv_handle_t*>(&handle_);
+    if (uv_is_closing(handle) != 0) {
+        return;
+    }
+    uv_close(handle, [](uv_handle_t* closed) {
+        auto* self = static_cast<uv_tcp_connection*>(closed->data);
+        // A connection that could not even begin to connect ends here.
+        if (self->events_ != nullptr) {
+            std::exchange(self->events_, nullptr)->on_end(connection_end::failed);
+        }
+        self->self_.reset();
+    });
+}
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/net/uv_tcp_connection.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "jujubetide/net/event_loop.h"
+#include "jujubetide/net/tcp_connection.h"
+
+#include <uv.h>
+
+namespace jujubetide {
+
+/// A connection over libuv. Keeps itself alive until the loop has closed its handle.
+class uv_tcp_connection final : public tcp_connection,
+                                public std::enable_shared_from_this<uv_tcp_connection> {
+public:
+    explicit uv_tcp_connection(event_loop& loop);
+    ~uv_tcp_connection() override = default;
+    uv_tcp_connection(const uv_tcp_connection&) = delete;
+    uv_tcp_connection& operator=(const uv_tcp_connection&) = delete;
+
+    void begin_connect(const endpoint& to, connection_events& events);
+    /// Takes the next connection of a listener; returns whether there was one.
+    bool accept(uv_stream_t* listener);
+
+protected:
+    void do_set_events(connection_events& events) override;
+    void do_write(std::string_view bytes) override;
+    [[nodiscard]] std::size_t do_waiting_bytes() const override;
+    void do_set_reading(bool wanted) override;
+    void do_close(bool reset) override;
+    [[nodiscard]] bool do_is_open() const override { return open_; }
+
+private:
+    static void on_connect(uv_connect_t* request, int status);
+    static void on_read(uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer);
+    static void on_written(uv_write_t* request, int status);
+    [[nodiscard]] uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&handle_); }
+    void keep_alive();
+    void end(connection_end how);
+    void finish_close();
+
+    event_loop& loop_;
+    uv_tcp_t handle_{};
+    uv_connect_t connect_{};
+    connection_events* events_ = nullptr;
+    /// Holds the object while the loop uses the handle.
+    std::shared_ptr<uv_tcp_connection> self_;
+    bool open_ = false;
+    bool established_ = false;
+    bool reading_ = false;
+    bool closing_after_writes_ = false;
+    /// Bytes were waiting above the high-water mark.
+    bool congested_ = false;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/caller_front.cc
@@ -0,0 +1,91 @@
+#include "node/caller_front.h"
+
+#include "node/node_events.h"
+#include "node/proxied_call.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace jujubetide {
+namespace {
+
+constexpr int bad_request = 400;
+constexpr int unauthorized = 401;
+constexpr int not_found = 404;
+constexpr int too_many_requests = 429;
+constexpr int service_unavailable = 503;
+/// When callers of a node without a configuration may come back.
+constexpr micros no_config_retry{500'000};
+
+std::string body_of(std::string_view cause) {
+    return absl::StrCat(R"({"error":")", absl::string_view(cause.data(), cause.size()), R"("})");
+}
+
+double usage_of(const serving_customer& customer, const call_fields& fields) {
+    if (!customer.cap_in_tokens || !fields.has_token_counts) {
+        return customer.plain_usage;
+    }
+    return static_cast<double>(fields.prompt_tokens + fields.max_output_tokens);
+}
+
+} // namespace
+
+std::shared_ptr<exchange_events>
+caller_front::do_request(request_head head, std::string body, time_point began,
+                         std::shared_ptr<http1_exchange> exchange) {
+    absl::StatusOr<call_fields> fields = state_.codec.read_call(head);
+    if (!fields.ok()) {
+        refuse(*exchange, "", bad_request, std::string(fields.status().message()), {});
+        return nullptr;
+    }
+    if (!state_.config) {
+        refuse(*exchange, fields->attempt, service_unavailable, "no_config", no_config_retry);
+        return nullptr;
+    }
+    const serving_route* route = state_.config->find_route(fields->host, head.target);
+    if (route == nullptr) {
+        refuse(*exchange, fields->attempt, not_found, "no_route", {});
+        return nullptr;
+    }
+    const serving_customer* customer = state_.config->find_key(fields->key);
+    if (customer == nullptr && !route->is_public && !state_.config->customers().empty()) {
+        refuse(*exchange, fields->attempt, unauthorized, "unknown_key", {});
+        return nullptr;
+    }
+    double charged = 0.0;
+    if (customer != nullptr) {
+        charged = usage_of(*customer, *fields);
+        const auto cap = state_.caps.admit(*customer, charged, state_.time.now());
+        if (!cap.admitted) {
+            refuse(*exchange, fields->attempt, too_many_requests, "usage_cap", cap.retry_after);
+            return nullptr;
+        }
+    }
+    auto call = std::make_shared<proxied_call>(
+        state_, state_.config, *route, customer,
+        proxied_call::request{std::move(head), std::move(body), *std::move(fields), began,
+                              std::move(exchange), charged});
+    call->begin();
+    return call;
+}
+
+void caller_front::refuse(http1_exchange& exchange, const std::string& attempt, int status,
+                          std::string_view cause, std::optional<micros> retry_after) {
+    state_.log.write(call_refused,
+                     {{"id", attempt},
+                      {"status", std::to_string(status)},
+                      {"cause", std::string(cause)},
+                      {"config", state_.config ? std::to_string(state_.config->version()) : "-"}});
+    exchange.respond(status, state_.codec.own_headers(attempt, retry_after), body_of(cause));
+}
+
+std::string caller_front::do_error_body(int status) const {
+    state_.log.write(call_refused, {{"id", "-"},
+                                    {"status", std::to_string(status)},
+                                    {"cause", "bad_message"},
+                                    {"config", "-"}});
+    return body_of(reason_phrase(status));
+}
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/caller_front.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "node/serving_state.h"
+
+#include "jujubetide/http1/http1_server.h"
+
+namespace jujubetide {
+
+/// Takes callers' requests: finds the route and the customer, holds the usage cap, and lets a
+/// `proxied_call` do the rest.
+class caller_front final : public http1_handler {
+public:
+    explicit caller_front(serving_state& state) : state_(state) {}
+
+protected:
+    std::shared_ptr<exchange_events> do_request(request_head head, std::string body,
+                                                time_point began,
+                                                std::shared_ptr<http1_exchange> exchange) override;
+    [[nodiscard]] std::string do_error_body(int status) const override;
+
+private:
+    void refuse(http1_exchange& exchange, const std::string& attempt, int status,
+                std::string_view cause, std::optional<micros> retry_after);
+
+    serving_state& state_;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/duty_lease.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "node/peer_exchange.h"
+
+#include "jujubetide/lease/lease_state.h"
+
+namespace jujubetide {
+
+/// Takes and renews the lease for the duties that one node does for all, over the store.
+class duty_lease {
+public:
+    static constexpr const char* table = "jujubetide-leases";
+    static constexpr const char* key = "duties";
+
+    /// What is passed in must outlive the lease.
+    duty_lease(serving_state& state, row_store& store, peer_exchange& peers);
+
+    void start();
+    /// Gives the lease up, so that another node need not wait for its end.
+    void release();
+
+    [[nodiscard]] bool held() const { return lease_.held(state_.time.now()); }
+    /// The fencing number for a call that is sent now; errors as for `lease_state::permit_order`.
+    [[nodiscard]] absl::StatusOr<fencing_number> permit() const {
+        return lease_.permit_order(state_.time.now(), false);
+    }
+
+private:
+    void step();
+    void read();
+    void write(const lease_write& what);
+    [[nodiscard]] bool is_candidate() const;
+    void note_change();
+
+    serving_state& state_;
+    row_store& store_;
+    peer_exchange& peers_;
+    lease_state lease_;
+    bool busy_ = false;
+    bool was_held_ = false;
+    bool released_ = false;
+    std::unique_ptr<timer_subscription> timer_;
+    time_point last_renewal_{};
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,195 @@
+#include "jujubetide/node/node.h"
+
+#include "node/caller_front.h"
+#include "node/duty_lease.h"
+#include "node/node_events.h"
+#include "node/peer_exchange.h"
+#include "node/server_scaler.h"
+#include "node/serving_state.h"
+#include "node/table_watches.h"
+#include "node/usage_reporter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubetide {
+namespace {
+
+constexpr micros expiry_period{200'000};
+/// How often a stopping node looks whether all is answered.
+constexpr micros stop_check_period{100'000};
+/// Callers that still hold this node's address may connect for this long after a stop began.
+constexpr micros accept_after_stop{2'500'000};
+/// Kept connections without a request are closed from this time after a stop began.
+constexpr micros keep_idle_after_stop{700'000};
+/// Part of the grace time after which a stopping node ends whatever still runs.
+constexpr double usable_grace = 0.94;
+/// How long callers may keep a list of nodes, where the platform allows longer.
+constexpr millis preferred_directory_lifetime{2'000};
+/// Descriptors that are left for everything but callers.
+constexpr std::size_t reserved_descriptors = 800;
+
+/// Servers register and renew often; the others' changes must arrive at once.
+constexpr micros registration_interval{250'000};
+
+http1_limits limits_of(const caller_limits& from, std::size_t max_descriptors) {
+    http1_limits limits;
+    limits.max_head_bytes = from.max_header_bytes;
+    limits.max_body_bytes = from.max_body_bytes;
+    limits.head_timeout = from.header_timeout;
+    limits.idle_timeout = from.idle_timeout;
+    limits.max_connections = max_descriptors > 2 * reserved_descriptors
+                                 ? max_descriptors - reserved_descriptors
+                                 : max_descriptors / 2;
+    return limits;
+}
+
+follower_options registration_options() {
+    follower_options options;
+    options.least_interval = registration_interval;
+    return options;
+}
+
+incarnation start_number(const clock& time) {
+    return incarnation(static_cast<std::uint64_t>(time.wall_now().time_since_epoch().count()));
+}
+
+} // namespace
+
+struct node::parts_of_node {
+    parts_of_node(const node_settings& settings, const node_dependencies& from)
+        : state(settings, from.loop, from.time, from.log, from.random, from.codec),
+          configs(state, from.decoder, from.tables, [this] { on_config(); }),
+          registrations(state, from.decoder, from.tables),
+          config_follower(from.store, from.loop, from.time, from.random, from.tables.config_table,
+                          configs),
+          registration_follower(from.store, from.loop, from.time, from.random,
+                                from.tables.registration_table, registrations,
+                                registration_options()) {}
+
+    void on_config() {
+        callers->set_limits(limits_of(state.config->limits(), state.settings.max_descriptors));
+    }
+    void check_stop();
+
+    serving_state state;
+    caller_front front{state};
+    std::unique_ptr<http1_server> callers;
+    config_watch configs;
+    registration_watch registrations;
+    table_follower config_follower;
+    table_follower registration_follower;
+    std::unique_ptr<peer_exchange> peers;
+    std::unique_ptr<table_follower> peer_follower;
+    std::unique_ptr<duty_lease> lease;
+    std::unique_ptr<usage_reporter> usage;
+    std::unique_ptr<server_scaler> scaler;
+    std::unique_ptr<timer_subscription> expiry;
+    std::unique_ptr<timer_subscription> stop_check;
+    time_point stop_began{};
+};
+
+absl::StatusOr<std::unique_ptr<node>> node::make(const node_settings& settings,
+                                                 const node_dependencies& from) {
+    auto parts = std::make_unique<parts_of_node>(settings, from);
+    auto callers = http1_server::make(from.loop, from.time, settings.callers, parts->front);
+    if (!callers.ok()) {
+        return callers.status();
+    }
+    parts->callers = *std::move(callers);
+    parts->state.settings.callers = parts->callers->address();
+    auto peers = peer_exchange::make(parts->state, from.store, start_number(from.time));
+    if (!peers.ok()) {
+        return peers.status();
+    }
+    parts->peers = *std::move(peers);
+    parts->peer_follower = std::make_unique<table_follower>(
+        from.store, from.loop, from.time, from.random, peer_exchange::table, *parts->peers);
+    parts->lease = std::make_unique<duty_lease>(parts->state, from.store, *parts->peers);
+    parts->usage = std::make_unique<usage_reporter>(parts->state, from.store, *parts->peers,
+                                                    *parts->lease, from.calls);
+    parts->scaler =
+        std::make_unique<server_scaler>(parts->state, *parts->peers, *parts->lease, from.calls);
+    return std::unique_ptr<node>(new node(std::move(parts)));
+}
+
+node::node(std::unique_ptr<parts_of_node> parts) : parts_(std::move(parts)) {}
+
+node::~node() = default;
+
+void node::start() {
+    serving_state& state = parts_->state;
+    state.log.write(node_started,
+                    {{"failure_domain", state.settings.failure_domain.str()},
+                     {"callers", state.settings.callers.str()},
+                     {"start", std::to_string(parts_->peers->start_number().value())}});
+    parts_->config_follower.start();
+    parts_->registration_follower.start();
+    parts_->peers->start();
+    parts_->peer_follower->start();
+    const bool has_duties = state.settings.reports_usage || state.settings.orders_servers;
+    if (has_duties) {
+        parts_->lease->start();
+    }
+    if (state.settings.reports_usage) {
+        parts_->usage->start();
+    }
+    if (state.settings.orders_servers) {
+        parts_->scaler->start();
+    }
+    parts_->expiry =
+        state.loop.every(expiry_period, expiry_period, [this] { parts_->registrations.expire(); });
+}
+
+void node::begin_stop() {
+    serving_state& state = parts_->state;
+    if (std::exchange(state.stopping, true)) {
+        return;
+    }
+    parts_->stop_began = state.time.now();
+    state.log.write(node_stopping, {{"running_calls", std::to_string(state.running_calls)}});
+    parts_->callers->begin_closing();
+    parts_->lease->release();
+    parts_->peers->leave();
+    parts_->stop_check =
+        state.loop.every(stop_check_period, stop_check_period, [this] { parts_->check_stop(); });
+}
+
+void node::parts_of_node::check_stop() {
+    const micros since = state.time.now() - stop_began;
+    if (since >= keep_idle_after_stop) {
+        callers->close_idle();
+    }
+    if (since >= accept_after_stop) {
+        callers->stop_accepting();
+    }
+    const bool all_answered = since >= accept_after_stop && state.running_calls == 0;
+    const auto grace = std::chrono::duration<double, std::micro>(state.settings.stop_grace);
+    if (!all_answered && since < grace * usable_grace) {
+        return;
+    }
+    state.log.write(node_stopped, {{"running_calls", std::to_string(state.running_calls)}});
+    state.loop.stop();
+}
+
+void node::reload() {
+    parts_->state.log.write(node_reloaded, {});
+}
+
+bool node::is_ready() const {
+    return parts_->state.config != nullptr && !parts_->state.stopping;
+}
+
+std::vector<endpoint> node::caller_addresses() const {
+    return parts_->peers->caller_addresses();
+}
+
+millis node::directory_lifetime() const {
+    return std::min(preferred_directory_lifetime, parts_->state.settings.directory_lifetime);
+}
+
+const endpoint& node::callers() const {
+    return parts_->state.settings.callers;
+}
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/node_events.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "jujubetide/base/log.h"
+
+namespace jujubetide {
+
+inline constexpr log_event node_started{7000, log_severity::info, "node_started"};
+inline constexpr log_event node_stopping{7001, log_severity::info, "node_stopping"};
+inline constexpr log_event node_stopped{7002, log_severity::info, "node_stopped"};
+inline constexpr log_event node_reloaded{7003, log_severity::info, "node_reloaded"};
+inline constexpr log_event call_ended{7010, log_severity::info, "call_ended"};
+inline constexpr log_event call_failed{7011, log_severity::warning, "call_failed"};
+inline constexpr log_event call_refused{7012, log_severity::warning, "call_refused"};
+inline constexpr log_event call_left{7013, log_severity::info, "call_left"};
+inline constexpr log_event attempt_over{7014, log_severity::info, "attempt_over"};
+inline constexpr log_event config_in_force{7020, log_severity::info, "config_in_force"};
+inline constexpr log_event config_rejected{7021, log_severity::warning, "config_rejected"};
+inline constexpr log_event table_away{7022, log_severity::warning, "table_away"};
+inline constexpr log_event table_back{7023, log_severity::info, "table_back"};
+inline constexpr log_event server_seen{7030, log_severity::info, "server_seen"};
+inline constexpr log_event server_leaving{7031, log_severity::info, "server_leaving"};
+inline constexpr log_event server_vanished{7032, log_severity::info, "server_vanished"};
+inline constexpr log_event server_gone{7033, log_severity::info, "server_gone"};
+inline constexpr log_event registration_rejected{7034, log_severity::warning,
+                                                 "registration_rejected"};
+inline constexpr log_event peer_found{7040, log_severity::info, "peer_found"};
+inline constexpr log_event peer_lost{7041, log_severity::warning, "peer_lost"};
+inline constexpr log_event peer_message_rejected{7042, log_severity::warning,
+                                                 "peer_message_rejected"};
+inline constexpr log_event duty_gained{7050, log_severity::info, "duty_gained"};
+inline constexpr log_event duty_lost{7051, log_severity::warning, "duty_lost"};
+inline constexpr log_event usage_reported{7052, log_severity::info, "usage_reported"};
+inline constexpr log_event usage_not_reported{7053, log_severity::warning, "usage_not_reported"};
+inline constexpr log_event servers_ordered{7054, log_severity::info, "servers_ordered"};
+inline constexpr log_event servers_not_ordered{7055, log_severity::warning, "servers_not_ordered"};
+inline constexpr log_event own_row_not_written{7056, log_severity::warning, "own_row_not_written"};
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/peer_digest.cc
@@ -0,0 +1,85 @@
+#include "node/peer_digest.h"
+
+#include <absl/status/status.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace jujubetide {
+namespace {
+
+using json = nlohmann::json;
+
+/// First element of each digest; changes with the format.
+constexpr int digest_format = 1;
+
+} // namespace
+
+std::string encode(const peer_digest& digest) {
+    json spending = json::array();
+    for (const customer_spending& one : digest.spending) {
+        spending.push_back({one.customer.str(), one.total});
+    }
+    json usage = json::array();
+    for (const auto& [window, counts] : digest.usage) {
+        json list = json::array();
+        for (const auto& [customer, count] : counts) {
+            list.push_back({customer.str(), count});
+        }
+        usage.push_back({window.value(), std::move(list)});
+    }
+    json loads = json::array();
+    for (const auto& [server, load] : digest.loads) {
+        loads.push_back({server.str(), load.running, load.unread_tokens, load.held_tokens});
+    }
+    json demand = json::array();
+    for (const auto& [service, servers] : digest.demand) {
+        demand.push_back({service.str(), static_cast<float>(servers)});
+    }
+    const json body = {digest_format,       digest.node.str(),   digest.start.value(),
+                       digest.is_ready,     digest.is_leaving,   digest.config_version,
+                       digest.holds_duties, std::move(spending), std::move(usage),
+                       std::move(loads),    std::move(demand)};
+    const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
+    return {bytes.begin(), bytes.end()};
+}
+
+absl::StatusOr<peer_digest> decode_digest(std::string_view bytes) {
+    try {
+        const json body = json::from_msgpack(bytes.begin(), bytes.end());
+        if (body.at(0).get<int>() != digest_format) {
+            return absl::InvalidArgumentError("a digest of another format");
+        }
+        peer_digest digest;
+        std::size_t at = 1;
+        digest.node = node_id(body.at(at++).get<std::string>());
+        digest.start = incarnation(body.at(at++).get<std::uint64_t>());
+        digest.is_ready = body.at(at++).get<bool>();
+        digest.is_leaving = body.at(at++).get<bool>();
+        digest.config_version = body.at(at++).get<std::uint64_t>();
+        digest.holds_duties = body.at(at++).get<bool>();
+        for (const json& one : body.at(at++)) {
+            digest.spending.push_back(
+                {customer_id(one.at(0).get<std::string>()), one.at(1).get<double>()});
+        }
+        for (const json& one : body.at(at++)) {
+            usage_counts& counts = digest.usage[usage_window(one.at(0).get<std::int64_t>())];
+            for (const json& count : one.at(1)) {
+                counts[customer_id(count.at(0).get<std::string>())] =
+                    count.at(1).get<std::uint64_t>();
+            }
+        }
+        for (const json& one : body.at(at++)) {
+            digest.loads[backend_server_id(one.at(0).get<std::string>())] = {
+                one.at(1).get<std::uint32_t>(), one.at(2).get<std::uint64_t>(),
+                one.at(3).get<std::uint64_t>()};
+        }
+        for (const json& one : body.at(at++)) {
+            digest.demand[service_id(one.at(0).get<std::string>())] = one.at(1).get<double>();
+        }
+        return digest;
+    } catch (const json::exception& error) {
+        return absl::InvalidArgumentError(absl::StrCat("not a digest: ", error.what()));
+    }
+}
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/peer_digest.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "jujubetide/base/ids.h"
+#include "jujubetide/serving/load_board.h"
+#include "jujubetide/serving/usage_cap.h"
+#include "jujubetide/serving/usage_ledger.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujubetide {
+
+/// What a node tells every other node several times a second, in one datagram.
+struct peer_digest {
+    node_id node;
+    incarnation start;
+    bool is_ready = false;
+    bool is_leaving = false;
+    /// Versions of the shared tables that the node knows.
+    std::uint64_t config_version = 0;
+    /// The node holds the duty lease.
+    bool holds_duties = false;
+    std::vector<customer_spending> spending;
+    std::map<usage_window, usage_counts> usage;
+    server_loads loads;
+    /// Servers that each service's calls at the node need.
+    std::map<service_id, double> demand;
+};
+
+std::string encode(const peer_digest& digest);
+/// InvalidArgument where the bytes are no digest.
+absl::StatusOr<peer_digest> decode_digest(std::string_view bytes);
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/peer_exchange.cc
@@ -0,0 +1,288 @@
+#include "node/peer_exchange.h"
+
+#include "node/node_events.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubetide {
+namespace {
+
+using json = nlohmann::json;
+
+/// Wait before the own row is written again after a failure.
+constexpr micros row_retry{500'000};
+
+std::string to_text(const node_record& record) {
+    return json{{"start", record.start.value()},
+                {"callers", record.callers.str()},
+                {"peers", record.peers.str()},
+                {"failure_domain", record.failure_domain.str()}}
+        .dump();
+}
+
+absl::StatusOr<node_record> parse_record(const stored_row& row) {
+    try {
+        const json body = json::parse(row.value);
+        const auto callers = parse_endpoint(body.at("callers").get<std::string>());
+        const auto peers = parse_endpoint(body.at("peers").get<std::string>());
+        if (!callers.ok() || !peers.ok()) {
+            return absl::InvalidArgumentError("not an address");
+        }
+        return node_record{node_id(row.key), incarnation(body.at("start").get<std::uint64_t>()),
+                           *callers, *peers,
+                           failure_domain_id(body.at("failure_domain").get<std::string>())};
+    } catch (const json::exception& error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<peer_exchange>>
+peer_exchange::make(serving_state& state, row_store& store, incarnation start) {
+    std::unique_ptr<peer_exchange> made(new peer_exchange(state, store, start));
+    auto socket = udp_socket::make(
+        state.loop, state.settings.peers,
+        [exchange = made.get()](std::string_view bytes) { exchange->receive(bytes); });
+    if (!socket.ok()) {
+        return socket.status();
+    }
+    made->socket_ = *std::move(socket);
+    return made;
+}
+
+peer_exchange::peer_exchange(serving_state& state, row_store& store, incarnation start)
+    : state_(state), store_(store), start_(start) {}
+
+void peer_exchange::start() {
+    row_wanted_ = true;
+    write_own_row();
+    digest_timer_ = state_.loop.every(digest_period, digest_period, [this] {
+        look();
+        tell();
+    });
+}
+
+void peer_exchange::write_own_row() {
+    if (row_pending_ || !row_wanted_) {
+        return;
+    }
+    row_pending_ = true;
+    const node_record own{state_.settings.node, start_, state_.settings.callers,
+                          state_.settings.peers, state_.settings.failure_domain};
+    row_transaction write;
+    write.puts.push_back({table, own.node.str(), to_text(own)});
+    store_.commit(write, [this](const absl::StatusOr<row_version>& done) {
+        row_pending_ = false;
+        if (done.ok()) {
+            return;
+        }
+        state_.log.write(own_row_not_written, {{"why", std::string(done.status().message())}});
+        row_timer_ = state_.loop.once(row_retry, [this] { write_own_row(); });
+    });
+}
+
+void peer_exchange::leave() {
+    row_wanted_ = false;
+    // Datagrams get lost at times.
+    constexpr int copies = 2;
+    for (int i = 0; i < copies; ++i) {
+        tell();
+    }
+    row_transaction removal;
+    removal.removals.push_back({table, state_.settings.node.str()});
+    store_.commit(removal, [this](const absl::StatusOr<row_version>& done) {
+        if (!done.ok()) {
+            state_.log.write(own_row_not_written, {{"why", std::string(done.status().message())}});
+        }
+    });
+}
+
+bool peer_exchange::is_ready() const {
+    return state_.config != nullptr && !state_.stopping;
+}
+
+void peer_exchange::tell() {
+    peer_digest digest;
+    digest.node = state_.settings.node;
+    digest.start = start_;
+    digest.is_ready = is_ready();
+    digest.is_leaving = state_.stopping;
+    digest.config_version = state_.config ? state_.config->version() : 0;
+    digest.holds_duties = holds_duties_;
+    digest.spending = state_.caps.spending();
+    digest.usage = state_.usage.own();
+    digest.loads = state_.loads.own();
+    digest.demand = state_.demand.all(state_.time.now());
+    const std::string bytes = encode(digest);
+    for (const auto& [node, one] : peers_) {
+        socket_->send(one.record.peers, bytes);
+    }
+}
+
+void peer_exchange::receive(std::string_view bytes) {
+    const absl::StatusOr<peer_digest> digest = decode_digest(bytes);
+    if (!digest.ok()) {
+        state_.log.write(peer_message_rejected, {{"why", std::string(digest.status().message())}});
+        return;
+    }
+    const auto found = peers_.find(digest->node);
+    if (found == peers_.end() || digest->start < found->second.record.start) {
+        return;
+    }
+    peer& from = found->second;
+    const time_point now = state_.time.now();
+    if (!lives(from)) {
+        state_.log.write(peer_found, {{"peer", digest->node.str()}});
+    }
+    from.record.start = digest->start;
+    from.heard = now;
+    from.is_ready = digest->is_ready;
+    from.is_leaving = digest->is_leaving;
+    from.holds_duties = digest->holds_duties;
+    from.demand = digest->demand;
+    state_.caps.on_peer_spending(digest->node, digest->start, digest->spending, now);
+    for (const auto& [window, counts] : digest->usage) {
+        state_.usage.on_peer_counts(digest->node, digest->start, window, counts);
+    }
+    state_.loads.set_peer(digest->node, digest->loads);
+}
+
+bool peer_exchange::lives(const peer& one) const {
+    return one.heard && state_.time.now() - *one.heard < silence_limit;
+}
+
+void peer_exchange::look() {
+    std::size_t heard = 1;
+    for (auto& [node, one] : peers_) {
+        if (lives(one)) {
+            ++heard;
+        } else if (one.heard) {
+            one.heard.reset();
+            one.known_since = state_.time.now();
+            state_.loads.forget_peer(node);
+            state_.log.write(peer_lost, {{"peer", node.str()}});
+        }
+    }
+    state_.nodes = peers_.size() + 1;
+    state_.caps.set_nodes(heard, state_.nodes);
+}
+
+void peer_exchange::do_table(const std::vector<stored_row>& rows) {
+    std::map<node_id, peer> before = std::exchange(peers_, {});
+    for (const stored_row& row : rows) {
+        if (const auto known = before.find(node_id(row.key)); known != before.end()) {
+            peers_[known->first] = std::move(known->second);
+        }
+        put_row(row);
+    }
+    const bool own_is_there = std::any_of(rows.begin(), rows.end(), [this](const auto& row) {
+        return row.key == state_.settings.node.str();
+    });
+    if (!own_is_there) {
+        write_own_row();
+    }
+}
+
+void peer_exchange::do_changes(const std::vector<stored_row>& rows) {
+    for (const stored_row& row : rows) {
+        if (!row.removed) {
+            put_row(row);
+        } else if (row.key == state_.settings.node.str()) {
+            write_own_row(); // Another node took this one for dead.
+        } else {
+            peers_.erase(node_id(row.key));
+            state_.loads.forget_peer(node_id(row.key));
+        }
+    }
+}
+
+void peer_exchange::put_row(const stored_row& row) {
+    if (row.key == state_.settings.node.str()) {
+        return;
+    }
+    const absl::StatusOr<node_record> record = parse_record(row);
+    if (!record.ok()) {
+        state_.log.write(peer_message_rejected,
+                         {{"peer", row.key}, {"why", std::string(record.status().message())}});
+        return;
+    }
+    peer& one = peers_[record->node];
+    if (one.record.start != record->start) {
+        one = peer{};
+        one.known_since = state_.time.now();
+    }
+    one.record = *record;
+}
+
+std::vector<endpoint> peer_exchange::caller_addresses() const {
+    std::vector<endpoint> live;
+    std::vector<endpoint> known;
+    for (const auto& [node, one] : peers_) {
+        if (one.is_leaving) {
+            continue;
+        }
+        known.push_back(one.record.callers);
+        if (lives(one) && one.is_ready) {
+            live.push_back(one.record.callers);
+        }
+    }
+    // A node that hears nobody cannot tell who lives.
+    std::vector<endpoint> addresses = live_peers() == 0 ? known : live;
+    if (is_ready() || addresses.empty()) {
+        addresses.push_back(state_.settings.callers);
+    }
+    return addresses;
+}
+
+std::size_t peer_exchange::live_peers() const {
+    return static_cast<std::size_t>(std::count_if(
+        peers_.begin(), peers_.end(), [this](const auto& item) { return lives(item.second); }));
+}
+
+bool peer_exchange::is_among_first() const {
+    constexpr std::ptrdiff_t candidates = 3;
+    const auto before = std::count_if(peers_.begin(), peers_.end(), [this](const auto& item) {
+        return item.first < state_.settings.node && lives(item.second) && !item.second.is_leaving;
+    });
+    return before < candidates;
+}
+
+bool peer_exchange::peer_holds_duties() const {
+    return std::any_of(peers_.begin(), peers_.end(), [this](const auto& item) {
+        return item.second.holds_duties && lives(item.second);
+    });
+}
+
+bool peer_exchange::all_heard_since(time_point since) const {
+    return std::all_of(peers_.begin(), peers_.end(), [&](const auto& item) {
+        return !lives(item.second) || *item.second.heard >= since;
+    });
+}
+
+std::map<service_id, double> peer_exchange::total_demand() const {
+    std::map<service_id, double> total = state_.demand.all(state_.time.now());
+    for (const auto& [node, one] : peers_) {
+        if (lives(one)) {
+            for (const auto& [service, servers] : one.demand) {
+                total[service] += servers;
+            }
+        }
+    }
+    return total;
+}
+
+std::vector<node_id> peer_exchange::silent_for(micros silence) const {
+    std::vector<node_id> list;
+    for (const auto& [node, one] : peers_) {
+        if (!lives(one) && state_.time.now() - one.known_since >= silence) {
+            list.push_back(node);
+        }
+    }
+    return list;
+}
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/peer_exchange.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "node/peer_digest.h"
+#include "node/serving_state.h"
+
+#include "jujubetide/net/udp_socket.h"
+#include "jujubetide/store/row_store.h"
+#include "jujubetide/store/table_follower.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace jujubetide {
+
+/// What a node's row in the store says of it.
+struct node_record {
+    node_id node;
+    incarnation start;
+    endpoint callers;
+    endpoint peers;
+    failure_domain_id failure_domain;
+};
+
+/// Knows the other nodes: finds them through their rows in the store, and exchanges digests with
+/// them, by which it also knows which of them live.
+class peer_exchange final : public table_observer {
+public:
+    static constexpr const char* table = "jujubetide-nodes";
+    static constexpr micros digest_period{300'000};
+    /// A node that was not heard for this long counts as dead.
+    static constexpr micros silence_limit{1'300'000};
+
+    /// What is passed in must outlive the exchange.
+    static absl::StatusOr<std::unique_ptr<peer_exchange>> make(serving_state& state,
+                                                               row_store& store, incarnation start);
+
+    /// Writes the own row, and begins to tell the peers.
+    void start();
+    /// Tells the peers at once that this node leaves, and removes its row.
+    void leave();
+    /// Sends a digest now.
+    void tell();
+    void set_holds_duties(bool holds) { holds_duties_ = holds; }
+
+    [[nodiscard]] incarnation start_number() const { return start_; }
+    /// Where callers may connect now, this node included while it is not leaving.
+    [[nodiscard]] std::vector<endpoint> caller_addresses() const;
+    /// Whether a peer that lives holds the duty lease.
+    [[nodiscard]] bool peer_holds_duties() const;
+    /// Whether all nodes that live have told a digest since `since`.
+    [[nodiscard]] bool all_heard_since(time_point since) const;
+    /// Servers that each service's calls need, over all nodes that live.
+    [[nodiscard]] std::map<service_id, double> total_demand() const;
+    /// Nodes that were not heard for `silence`, by their rows.
+    [[nodiscard]] std::vector<node_id> silent_for(micros silence) const;
+    [[nodiscard]] std::size_t live_peers() const;
+    /// Whether this node is one of the few that take duties over, by the order of the names of
+    /// those that live.
+    [[nodiscard]] bool is_among_first() const;
+
+protected:
+    void do_table(const std::vector<stored_row>& rows) override;
+    void do_changes(const std::vector<stored_row>& rows) override;
+
+private:
+    struct peer {
+        node_record record;
+        time_point known_since{};
+        std::optional<time_point> heard;
+        bool is_ready = false;
+        bool is_leaving = false;
+        bool holds_duties = false;
+        std::map<service_id, double> demand;
+    };
+
+    peer_exchange(serving_state& state, row_store& store, incarnation start);
+    void receive(std::string_view bytes);
+    void put_row(const stored_row& row);
+    void write_own_row();
+    void look();
+    [[nodiscard]] bool lives(const peer& one) const;
+    [[nodiscard]] bool is_ready() const;
+
+    serving_state& state_;
+    row_store& store_;
+    incarnation start_;
+    std::unique_ptr<udp_socket> socket_;
+    std::map<node_id, peer> peers_;
+    bool holds_duties_ = false;
+    bool row_wanted_ = false;
+    bool row_pending_ = false;
+    std::unique_ptr<timer_subscription> digest_timer_;
+    std::unique_ptr<timer_subscription> row_timer_;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/server_scaler.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "node/duty_lease.h"
+
+#include "jujubetide/node/fleet_calls.h"
+#include "jujubetide/serving/scaling_planner.h"
+
+#include <map>
+
+namespace jujubetide {
+
+/// Orders backend servers as planned while this node holds the duties. An order is the wanted state
+/// and is sent when it changes, or when the last one was not taken.
+class server_scaler {
+public:
+    /// What is passed in must outlive the scaler.
+    server_scaler(serving_state& state, peer_exchange& peers, duty_lease& lease,
+                  fleet_calls& calls);
+
+    void start();
+
+private:
+    struct order_state {
+        unsigned wanted = 0;
+        std::optional<unsigned> taken;
+        bool pending = false;
+        time_point retry_at{};
+    };
+    void step();
+    void plan(const serving_service& service, const std::map<service_id, double>& demand);
+    void send(const service_id& service, const server_group& group, order_state& order);
+
+    serving_state& state_;
+    peer_exchange& peers_;
+    duty_lease& lease_;
+    fleet_calls& calls_;
+    std::map<service_id, scaling_planner> planners_;
+    std::map<std::pair<service_id, server_group>, order_state> orders_;
+    std::optional<time_point> held_since_;
+    std::unique_ptr<timer_subscription> timer_;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/serving_state.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "jujubetide/base/clock.h"
+#include "jujubetide/base/log.h"
+#include "jujubetide/base/random_source.h"
+#include "jujubetide/http1/http1_client.h"
+#include "jujubetide/limits/retry_budget.h"
+#include "jujubetide/node/call_codec.h"
+#include "jujubetide/node/node_settings.h"
+#include "jujubetide/serving/backend_list.h"
+#include "jujubetide/serving/demand_meter.h"
+#include "jujubetide/serving/engine_placement.h"
+#include "jujubetide/serving/load_board.h"
+#include "jujubetide/serving/server_health.h"
+#include "jujubetide/serving/serving_config.h"
+#include "jujubetide/serving/usage_cap.h"
+#include "jujubetide/serving/usage_ledger.h"
+
+namespace jujubetide {
+
+/// What a node's parts share; all on the event loop's thread.
+struct serving_state {
+    serving_state(const node_settings& of, event_loop& on, const clock& time_source, log_sink& to,
+                  random_source& chance, const call_codec& translation)
+        : settings(of), loop(on), time(time_source), log(to), random(chance), codec(translation),
+          client(on, time_source), usage(of.usage_window) {}
+
+    node_settings settings;
+    event_loop& loop;
+    const clock& time;
+    log_sink& log;
+    random_source& random;
+    const call_codec& codec;
+    http1_client client;
+
+    /// Null until the first configuration is known.
+    serving_config_ptr config;
+    backend_list backends;
+    load_board loads;
+    server_health health;
+    engine_placement engines{loads, health};
+    least_running_placement plain{loads, health};
+    usage_cap caps;
+    usage_ledger usage;
+    demand_meter demand;
+    retry_budget retries;
+    /// Nodes that share the limits, this one included.
+    std::size_t nodes = 1;
+    bool stopping = false;
+    /// Calls that have no final answer yet.
+    std::size_t running_calls = 0;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/table_watches.cc
@@ -0,0 +1,146 @@
+#include "node/table_watches.h"
+
+#include "node/node_events.h"
+
+#include <utility>
+
+namespace jujubetide {
+namespace {
+
+void log_away(log_sink& log, const std::string& table, const absl::Status& why) {
+    log.write(table_away, {{"table", table}, {"why", std::string(why.message())}});
+}
+
+void log_back(log_sink& log, const std::string& table) {
+    log.write(table_back, {{"table", table}});
+}
+
+} // namespace
+
+config_watch::config_watch(serving_state& state, const row_decoder& decoder, shared_tables tables,
+                           std::function<void()> on_change)
+    : state_(state), decoder_(decoder), tables_(std::move(tables)),
+      on_change_(std::move(on_change)) {}
+
+void config_watch::do_changes(const std::vector<stored_row>& rows) {
+    for (const stored_row& row : rows) {
+        if (row.key == tables_.config_key && !row.removed) {
+            take(row);
+        }
+    }
+}
+
+void config_watch::take(const stored_row& row) {
+    absl::StatusOr<serving_config::parts> parts = decoder_.config(row.value);
+    if (!parts.ok()) {
+        state_.log.write(config_rejected, {{"row_version", std::to_string(row.version.value())},
+                                           {"why", std::string(parts.status().message())}});
+        return;
+    }
+    const std::uint64_t before = state_.config ? state_.config->version() : 0;
+    if (state_.config && parts->version <= before) {
+        return;
+    }
+    state_.config = serving_config::make(*std::move(parts));
+    state_.log.write(config_in_force, {{"config", std::to_string(state_.config->version())},
+                                       {"before", std::to_string(before)},
+                                       {"routes", std::to_string(state_.config->routes().size())}});
+    on_change_();
+}
+
+void config_watch::do_away(const absl::Status& why) {
+    log_away(state_.log, tables_.config_table, why);
+}
+
+void config_watch::do_back() {
+    log_back(state_.log, tables_.config_table);
+}
+
+registration_watch::registration_watch(serving_state& state, const row_decoder& decoder,
+                                       shared_tables tables)
+    : state_(state), decoder_(decoder), tables_(std::move(tables)) {}
+
+std::optional<backend_server> registration_watch::read(const stored_row& row) {
+    absl::StatusOr<backend_server> server =
+        decoder_.registration(backend_server_id(row.key), row.value);
+    if (!server.ok()) {
+        state_.log.write(registration_rejected,
+                         {{"server", row.key}, {"why", std::string(server.status().message())}});
+        return std::nullopt;
+    }
+    return *std::move(server);
+}
+
+void registration_watch::do_table(const std::vector<stored_row>& rows) {
+    std::vector<backend_server> servers;
+    for (const stored_row& row : rows) {
+        if (auto server = read(row)) {
+            servers.push_back(*std::move(server));
+        }
+    }
+    std::vector<backend_server_id> vanished;
+    for (const auto& [id, entry] : state_.backends.all()) {
+        vanished.push_back(id);
+    }
+    for (const backend_server& server : servers) {
+        std::erase(vanished, server.id);
+        put(server);
+    }
+    for (const backend_server_id& id : vanished) {
+        remove(id);
+    }
+}
+
+void registration_watch::do_changes(const std::vector<stored_row>& rows) {
+    for (const stored_row& row : rows) {
+        if (row.removed) {
+            remove(backend_server_id(row.key));
+        } else if (const auto server = read(row)) {
+            put(*server);
+        }
+    }
+}
+
+void registration_watch::put(const backend_server& server) {
+    const backend_list::entry* before = state_.backends.find(server.id);
+    if (before == nullptr || before->vanished) {
+        state_.log.write(server_seen, {{"server", server.id.str()},
+                                       {"service", server.service.str()},
+                                       {"address", server.address.str()},
+                                       {"version", server.version.str()}});
+    }
+    if (server.leaving && (before == nullptr || !before->server.leaving)) {
+        state_.log.write(server_leaving, {{"server", server.id.str()}});
+    }
+    if (before != nullptr && before->server.started_at_ms != server.started_at_ms) {
+        state_.health.forget(server.id);
+    }
+    state_.backends.put(server);
+}
+
+void registration_watch::remove(const backend_server_id& id) {
+    const backend_list::entry* before = state_.backends.find(id);
+    if (before == nullptr || before->vanished) {
+        return;
+    }
+    state_.log.write(before->server.leaving ? server_gone : server_vanished,
+                     {{"server", id.str()}});
+    state_.backends.remove(id, state_.time.now());
+}
+
+void registration_watch::expire() {
+    for (const backend_server_id& id : state_.backends.expire(state_.time.now())) {
+        state_.health.forget(id);
+        state_.log.write(server_gone, {{"server", id.str()}});
+    }
+}
+
+void registration_watch::do_away(const absl::Status& why) {
+    log_away(state_.log, tables_.registration_table, why);
+}
+
+void registration_watch::do_back() {
+    log_back(state_.log, tables_.registration_table);
+}
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/table_watches.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "node/serving_state.h"
+
+#include "jujubetide/node/row_decoder.h"
+#include "jujubetide/store/table_follower.h"
+
+#include <functional>
+
+namespace jujubetide {
+
+/// Puts the operators' configuration in force, never an older one after a newer one.
+class config_watch final : public table_observer {
+public:
+    /// `on_change` is called after a configuration came in force. All must outlive the watch.
+    config_watch(serving_state& state, const row_decoder& decoder, shared_tables tables,
+                 std::function<void()> on_change);
+
+protected:
+    void do_table(const std::vector<stored_row>& rows) override { do_changes(rows); }
+    void do_changes(const std::vector<stored_row>& rows) override;
+    void do_away(const absl::Status& why) override;
+    void do_back() override;
+
+private:
+    void take(const stored_row& row);
+
+    serving_state& state_;
+    const row_decoder& decoder_;
+    shared_tables tables_;
+    std::function<void()> on_change_;
+};
+
+/// Keeps the list of backend servers as they register themselves.
+class registration_watch final : public table_observer {
+public:
+    registration_watch(serving_state& state, const row_decoder& decoder, shared_tables tables);
+
+    /// Forgets servers that vanished and did not come back; to be called several times a second.
+    void expire();
+
+protected:
+    void do_table(const std::vector<stored_row>& rows) override;
+    void do_changes(const std::vector<stored_row>& rows) override;
+    void do_away(const absl::Status& why) override;
+    void do_back() override;
+
+private:
+    [[nodiscard]] std::optional<backend_server> read(const stored_row& row);
+    void put(const backend_server& server);
+    void remove(const backend_server_id& id);
+
+    serving_state& state_;
+    const row_decoder& decoder_;
+    shared_tables tables_;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/usage_reporter.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "node/duty_lease.h"
+
+#include "jujubetide/node/fleet_calls.h"
+
+#include <map>
+#include <set>
+
+namespace jujubetide {
+
+/// Reports each window's usage while this node holds the duties. The figures are written to the
+/// store before they are sent, so that whoever repeats a report repeats the same figures.
+class usage_reporter {
+public:
+    static constexpr const char* table = "jujubetide-usage";
+
+    /// What is passed in must outlive the reporter.
+    usage_reporter(serving_state& state, row_store& store, peer_exchange& peers, duty_lease& lease,
+                   fleet_calls& calls);
+
+    void start();
+
+private:
+    void step();
+    void load();
+    [[nodiscard]] bool is_complete(usage_window window) const;
+    void fix(usage_window window);
+    void send(usage_window window);
+
+    serving_state& state_;
+    row_store& store_;
+    peer_exchange& peers_;
+    duty_lease& lease_;
+    fleet_calls& calls_;
+    usage_window first_;
+    /// Figures that the store has.
+    std::map<usage_window, usage_counts> fixed_;
+    std::set<usage_window> reported_;
+    bool loaded_ = false;
+    bool busy_ = false;
+    std::unique_ptr<timer_subscription> timer_;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/serving/backend_list.cc
@@ -0,0 +1,69 @@
+#include "jujubetide/serving/backend_list.h"
+
+namespace jujubetide {
+
+void backend_list::replace(const std::vector<backend_server>& servers, time_point now) {
+    std::map<backend_server_id, bool> present;
+    for (const backend_server& server : servers) {
+        present[server.id] = true;
+    }
+    std::vector<backend_server_id> vanished;
+    for (const auto& [id, one] : entries_) {
+        if (!present.contains(id)) {
+            vanished.push_back(id);
+        }
+    }
+    for (const backend_server_id& id : vanished) {
+        remove(id, now);
+    }
+    for (const backend_server& server : servers) {
+        put(server);
+    }
+}
+
+void backend_list::put(const backend_server& server) {
+    entries_[server.id] = {server, std::nullopt};
+}
+
+void backend_list::remove(const backend_server_id& id, time_point now) {
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return;
+    }
+    // A server that said that it leaves is gone for good.
+    if (found->second.server.leaving) {
+        entries_.erase(found);
+    } else if (!found->second.vanished) {
+        found->second.vanished = now;
+    }
+}
+
+std::vector<backend_server_id> backend_list::expire(time_point now) {
+    std::vector<backend_server_id> expired;
+    std::erase_if(entries_, [&expired, now](const auto& item) {
+        const bool over = item.second.vanished && now - *item.second.vanished >= comeback_time;
+        if (over) {
+            expired.push_back(item.first);
+        }
+        return over;
+    });
+    return expired;
+}
+
+const backend_list::entry* backend_list::find(const backend_server_id& id) const {
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+std::vector<const backend_server*> backend_list::usable(const service_id& service) const {
+    std::vector<const backend_server*> present;
+    std::vector<const backend_server*> vanished;
+    for (const auto& [id, one] : entries_) {
+        if (one.server.service == service && !one.server.leaving) {
+            (one.vanished ? vanished : present).push_back(&one.server);
+        }
+    }
+    return present.empty() ? vanished : present;
+}
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/serving/load_board.cc
@@ -0,0 +1,78 @@
+#include "jujubetide/serving/load_board.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubetide {
+namespace {
+
+template <class Number>
+void take(Number& from, Number amount) {
+    from -= std::min(from, amount);
+}
+
+void add(server_load& to, const server_load& more) {
+    to.running += more.running;
+    to.unread_tokens += more.unread_tokens;
+    to.held_tokens += more.held_tokens;
+}
+
+} // namespace
+
+void load_board::on_sent(const backend_server_id& id, std::uint64_t unread, std::uint64_t held) {
+    add(own_[id], {1, unread, held});
+}
+
+void load_board::on_begun(const backend_server_id& id, std::uint64_t unread) {
+    if (const auto found = own_.find(id); found != own_.end()) {
+        take(found->second.unread_tokens, unread);
+    }
+}
+
+void load_board::on_ended(const backend_server_id& id, std::uint64_t unread, std::uint64_t held) {
+    const auto found = own_.find(id);
+    if (found == own_.end()) {
+        return;
+    }
+    take(found->second.running, std::uint32_t{1});
+    take(found->second.unread_tokens, unread);
+    take(found->second.held_tokens, held);
+    if (found->second.running == 0) {
+        own_.erase(found);
+    }
+}
+
+void load_board::set_peer(const node_id& node, server_loads loads) {
+    if (const auto before = peers_.find(node); before != peers_.end()) {
+        for (const auto& [id, load] : before->second) {
+            server_load& sum = peer_sums_[id];
+            take(sum.running, load.running);
+            take(sum.unread_tokens, load.unread_tokens);
+            take(sum.held_tokens, load.held_tokens);
+            if (sum == server_load{}) {
+                peer_sums_.erase(id);
+            }
+        }
+        peers_.erase(before);
+    }
+    if (loads.empty()) {
+        return;
+    }
+    for (const auto& [id, load] : loads) {
+        add(peer_sums_[id], load);
+    }
+    peers_[node] = std::move(loads);
+}
+
+server_load load_board::total(const backend_server_id& id) const {
+    server_load sum;
+    if (const auto own = own_.find(id); own != own_.end()) {
+        sum = own->second;
+    }
+    if (const auto peers = peer_sums_.find(id); peers != peer_sums_.end()) {
+        add(sum, peers->second);
+    }
+    return sum;
+}
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/store/table_follower.cc
@@ -0,0 +1,106 @@
+#include "jujubetide/store/table_follower.h"
+
+#include "jujubetide/base/jitter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jujubetide {
+
+table_follower::table_follower(row_store& store, timer_service& timers, const clock& time,
+                               random_source& random, std::string table, table_observer& observer,
+                               follower_options options)
+    : store_(store), timers_(timers), clock_(time), random_(random), table_(std::move(table)),
+      observer_(observer), options_(options) {}
+
+void table_follower::start() {
+    read("");
+}
+
+void table_follower::read(const std::string& from) {
+    if (from.empty()) {
+        pages_.clear();
+    }
+    store_.read(table_, from,
+                [this, from](absl::StatusOr<row_batch> batch) { on_read(from, std::move(batch)); });
+}
+
+void table_follower::on_read(const std::string& from, absl::StatusOr<row_batch> batch) {
+    if (!batch.ok()) {
+        failed(batch.status());
+        return;
+    }
+    if (from.empty()) {
+        // Changes during the reading of further pages are asked for from the first page's version.
+        pages_at_ = batch->at;
+    }
+    const std::string last = batch->rows.empty() ? std::string() : batch->rows.back().key;
+    std::move(batch->rows.begin(), batch->rows.end(), std::back_inserter(pages_));
+    if (batch->more && !last.empty()) {
+        read(last + '\0');
+        return;
+    }
+    answered();
+    at_ = pages_at_;
+    loaded_ = true;
+    reload_ = false;
+    observer_.on_table(std::exchange(pages_, {}));
+    ask();
+}
+
+void table_follower::ask() {
+    asked_ = clock_.now();
+    store_.changes(table_, at_, options_.wait,
+                   [this](absl::StatusOr<row_batch> batch) { on_answer(std::move(batch)); });
+}
+
+void table_follower::on_answer(absl::StatusOr<row_batch> batch) {
+    if (!batch.ok()) {
+        reload_ = reload_ || absl::IsOutOfRange(batch.status());
+        if (absl::IsOutOfRange(batch.status())) {
+            answered();
+            read("");
+            return;
+        }
+        failed(batch.status());
+        return;
+    }
+    answered();
+    at_ = std::max(at_, batch->at);
+    if (!batch->rows.empty()) {
+        observer_.on_changes(batch->rows);
+    }
+    const micros since = clock_.now() - asked_;
+    if (since >= options_.least_interval) {
+        ask();
+    } else {
+        later(options_.least_interval - since);
+    }
+}
+
+void table_follower::answered() {
+    retry_ = micros{0};
+    if (std::exchange(away_, false)) {
+        observer_.on_back();
+    }
+}
+
+void table_follower::failed(const absl::Status& why) {
+    if (!std::exchange(away_, true)) {
+        observer_.on_away(why);
+    }
+    retry_ = std::clamp(retry_ * 2, options_.first_retry, options_.longest_retry);
+    later(with_jitter(retry_, random_));
+}
+
+void table_follower::later(micros delay) {
+    timer_ = timers_.once(delay, [this] {
+        if (reload_ || !loaded_) {
+            read("");
+        } else {
+            ask();
+        }
+    });
+}
+
+} // namespace jujubetide
