Tell a reset from an orderly end, and end running calls with the node

Ruled out: wrong framing of answers with a length (one answer framed until_close, and it broke). Change: the end is checked by a peek at the socket; calls are kept by the node's set and broken off when it ends.

--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -67,8 +67,12 @@
     for (const auto& watch : signals_) {
         uv_close(reinterpret_cast<uv_handle_t*>(&watch->handle), nullptr);
     }
-    // Runs the close callbacks of everything that was destroyed before.
-    uv_run(loop_.get(), UV_RUN_DEFAULT);
+    // Runs the close callbacks of everything that was destroyed before. Connections that still send
+    // are given up.
+    constexpr int rounds = 2;
+    for (int i = 0; i < rounds; ++i) {
+        uv_run(loop_.get(), UV_RUN_NOWAIT);
+    }
     uv_loop_close(loop_.get());
 }
 
--- a/src/net/uv_tcp_connection.cc
+++ b/src/net/uv_tcp_connection.cc
@@ -102,7 +102,8 @@
         return;
     }
     if (count < 0) {
-        self->end(count == UV_EOF ? connection_end::closed : connection_end::failed);
+        self->end(count == UV_EOF && self->is_closed_in_order() ? connection_end::closed
+                                                                : connection_end::failed);
         return;
     }
     const auto alive = self->shared_from_this();
@@ -111,6 +112,14 @@
     }
 }
 
+bool uv_tcp_connection::is_closed_in_order() const {
+    // The library reports the end of the stream also where a reset came right after the last bytes.
+    uv_os_fd_t fd = -1;
+    char byte = 0;
+    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_), &fd) == 0 &&
+           recv(fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void uv_tcp_connection::on_written(uv_write_t* request, int status) {
     auto* self = static_cast<uv_tcp_connection*>(request->handle->data);
     const auto alive = self->shared_from_this();
--- a/src/net/uv_tcp_connection.h
+++ b/src/net/uv_tcp_connection.h
@@ -34,6 +34,7 @@
     static void on_written(uv_write_t* request, int status);
     [[nodiscard]] uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&handle_); }
     void keep_alive();
+    [[nodiscard]] bool is_closed_in_order() const;
     void end(connection_end how);
     void finish_close();
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -4,6 +4,7 @@
 #include "node/duty_lease.h"
 #include "node/node_events.h"
 #include "node/peer_exchange.h"
+#include "node/proxied_call.h"
 #include "node/server_scaler.h"
 #include "node/serving_state.h"
 #include "node/table_watches.h"
@@ -22,6 +23,8 @@
 constexpr micros accept_after_stop{2'500'000};
 /// Kept connections without a request are closed from this time after a stop began.
 constexpr micros keep_idle_after_stop{700'000};
+/// Time for the last answers to leave the host.
+constexpr micros send_time{300'000};
 /// Part of the grace time after which a stopping node ends whatever still runs.
 constexpr double usable_grace = 0.94;
 /// How long callers may keep a list of nodes, where the platform allows longer.
@@ -87,6 +90,8 @@
     std::unique_ptr<timer_subscription> expiry;
     std::unique_ptr<timer_subscription> stop_check;
     time_point stop_began{};
+    /// How long after the stop began the last call had no final answer.
+    micros idle_since{0};
 };
 
 absl::StatusOr<std::unique_ptr<node>> node::make(const node_settings& settings,
@@ -115,7 +120,12 @@
 
 node::node(std::unique_ptr<parts_of_node> parts) : parts_(std::move(parts)) {}
 
-node::~node() = default;
+node::~node() {
+    const auto running = parts_->state.calls;
+    for (const auto& call : running) {
+        call->abandon();
+    }
+}
 
 void node::start() {
     serving_state& state = parts_->state;
@@ -147,7 +157,7 @@
         return;
     }
     parts_->stop_began = state.time.now();
-    state.log.write(node_stopping, {{"running_calls", std::to_string(state.running_calls)}});
+    state.log.write(node_stopping, {{"running_calls", std::to_string(state.calls.size())}});
     parts_->callers->begin_closing();
     parts_->lease->release();
     parts_->peers->leave();
@@ -163,12 +173,15 @@
     if (since >= accept_after_stop) {
         callers->stop_accepting();
     }
-    const bool all_answered = since >= accept_after_stop && state.running_calls == 0;
+    if (!state.calls.empty()) {
+        idle_since = since;
+    }
+    const bool all_answered = since >= accept_after_stop && since - idle_since >= send_time;
     const auto grace = std::chrono::duration<double, std::micro>(state.settings.stop_grace);
     if (!all_answered && since < grace * usable_grace) {
         return;
     }
-    state.log.write(node_stopped, {{"running_calls", std::to_string(state.running_calls)}});
+    state.log.write(node_stopped, {{"running_calls", std::to_string(state.calls.size())}});
     state.loop.stop();
 }
 
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -60,6 +60,20 @@
     return std::to_string(to_millis(duration).count());
 }
 
+std::string_view name_of(body_framing framing) {
+    switch (framing) {
+    case body_framing::none:
+        return "none";
+    case body_framing::length:
+        return "length";
+    case body_framing::chunked:
+        return "chunked";
+    case body_framing::until_close:
+        return "until_close";
+    }
+    return "unknown";
+}
+
 std::string_view name_of(attempt_outcome outcome) {
     switch (outcome) {
     case attempt_outcome::not_sent:
@@ -87,17 +101,12 @@
       request_(std::move(incoming)) {
     const micros patience = request_.fields.patience.value_or(route.timeout);
     deadline_ = request_.began + std::min<micros>(patience, route.timeout);
-    ++state_.running_calls;
-}
-
-proxied_call::~proxied_call() {
-    --state_.running_calls;
 }
 
 void proxied_call::begin() {
-    self_ = shared_from_this();
-    const auto alive = self_;
-    const std::weak_ptr<proxied_call> weak = self_;
+    const auto alive = shared_from_this();
+    state_.calls.insert(alive);
+    const std::weak_ptr<proxied_call> weak = alive;
     deadline_timer_ = state_.loop.once(std::max(micros{0}, time_left()), [weak] {
         if (const auto call = weak.lock()) {
             call->on_deadline();
@@ -458,6 +467,11 @@
     sent_ = {};
 }
 
+void proxied_call::abandon() {
+    const auto alive = shared_from_this();
+    break_off("node_ends");
+}
+
 void proxied_call::do_caller_gone() {
     const auto alive = shared_from_this();
     finish(call_left, 0, progress_.has_begun ? "mid_answer" : "before_answer");
@@ -514,12 +528,13 @@
                              {"ms", ms_text(state_.time.now() - request_.began)},
                              {"estimate_ms", ms_text(choice_.first_event)},
                              {"events", std::to_string(events_.events())},
+                             {"framing", std::string(name_of(head_.framing))},
                              {"servers_tried", std::to_string(progress_.servers_tried)},
                              {"config", std::to_string(config_->version())}});
     end_attempt();
     deadline_timer_.reset();
     silence_timer_.reset();
-    self_.reset();
+    state_.calls.erase(alive);
 }
 
 } // namespace jujubetide
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -14,7 +14,7 @@
 namespace jujubetide {
 
 /// One caller's request from its acceptance to its final answer: chooses servers, sends attempts
-/// and passes the answer on. Keeps itself alive until it is over.
+/// and passes the answer on. The state's set of calls keeps it until it is over.
 class proxied_call final : public exchange_events,
                            public call_events,
                            public std::enable_shared_from_this<proxied_call> {
@@ -33,11 +33,9 @@
     /// `route` is one of the routes of `config`; `customer` may be null.
     proxied_call(serving_state& state, serving_config_ptr config, const serving_route& route,
                  const serving_customer* customer, request incoming);
-    ~proxied_call() override;
-    proxied_call(const proxied_call&) = delete;
-    proxied_call& operator=(const proxied_call&) = delete;
-
     void begin();
+    /// The node ends: breaks the call off.
+    void abandon();
 
 protected:
     void do_caller_gone() override;
@@ -78,8 +76,6 @@
     const serving_customer* customer_;
     request request_;
     time_point deadline_{};
-    /// Keeps the call while it is not over.
-    std::shared_ptr<proxied_call> self_;
     const serving_service* service_ = nullptr;
     call_progress progress_;
     std::vector<backend_server_id> tried_;
--- a/src/node/serving_state.h
+++ b/src/node/serving_state.h
@@ -16,8 +16,14 @@
 #include "jujubetide/serving/usage_cap.h"
 #include "jujubetide/serving/usage_ledger.h"
 
+#include <absl/container/flat_hash_set.h>
+
+#include <memory>
+
 namespace jujubetide {
 
+class proxied_call;
+
 /// What a node's parts share; all on the event loop's thread.
 struct serving_state {
     serving_state(const node_settings& of, event_loop& on, const clock& time_source, log_sink& to,
@@ -47,8 +53,8 @@
     /// Nodes that share the limits, this one included.
     std::size_t nodes = 1;
     bool stopping = false;
-    /// Calls that have no final answer yet.
-    std::size_t running_calls = 0;
+    /// Calls that have no final answer yet; the set keeps them.
+    absl::flat_hash_set<std::shared_ptr<proxied_call>> calls;
 };
 
 } // namespace jujubetide
