--- a/include/jujubetide/serving/scaling_planner.h
+++ b/include/jujubetide/serving/scaling_planner.h
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <map>
+#include <optional>
 
 namespace jujubetide {
 
@@ -28,18 +29,33 @@
     /// `busy` servers' worth of work arrives; `present` take new work now.
     [[nodiscard]] server_numbers plan(const scaling_limits& limits, double busy,
                                       const server_numbers& present, time_point now);
+    /// An order of reclaimable servers cannot be met at present.
+    void on_refused(const server_group& group, time_point now);
 
 private:
+    struct group_state {
+        unsigned ordered = 0;
+        unsigned present = 0;
+        time_point increased{};
+        /// When servers were lost, or refused, last.
+        std::optional<time_point> failed;
+    };
+
     [[nodiscard]] double peak(double busy, time_point now);
-    /// Reclaimable servers that were ordered and do not come.
-    [[nodiscard]] unsigned missing(const scaling_limits& limits, const server_numbers& present,
-                                   time_point now) const;
+    void observe(const server_numbers& present, time_point now);
+    /// Reclaimable servers that can be counted on: those present, and those that boot.
+    [[nodiscard]] unsigned available(const scaling_limits& limits, time_point now) const;
+    /// Follows a rise of the reliable servers wanted at once, and a fall after a while.
+    [[nodiscard]] unsigned hold(unsigned wanted, time_point now);
+    void note_orders(const server_numbers& numbers, time_point now);
 
     double peak_ = 0.0;
     time_point peak_at_{};
     bool has_peak_ = false;
-    server_numbers ordered_;
-    std::map<server_group, time_point> ordered_since_;
+    std::optional<time_point> demand_since_;
+    std::map<server_group, group_state> groups_;
+    unsigned held_ = 0;
+    time_point held_at_{};
 };
 
 } // namespace jujubetide
--- a/src/http1/message_parser.cc
+++ b/src/http1/message_parser.cc
@@ -7,6 +7,9 @@
 namespace jujubetide {
 
 struct message_parser::native {
+    /// What a callback returns to make the message an error.
+    static constexpr int malformed = -1;
+
     http_parser parser{};
     message_parser* owner = nullptr;
     request_head request;
@@ -22,17 +25,40 @@
             return;
         }
         header_list& headers = owner->kind_ == kind::request ? request.headers : response.headers;
+        value.erase(value.find_last_not_of(" \t") + 1);
         headers.add(std::exchange(name, {}), std::exchange(value, {}));
         value_begun = false;
     }
 
+    [[nodiscard]] std::size_t size_of(const header_list& headers) const {
+        std::size_t size = request.target.size();
+        for (const auto& [field_name, field_value] : headers.fields()) {
+            size += field_name.size() + field_value.size();
+        }
+        return size;
+    }
+
+    /// What the library lets pass although peers may read it in different ways.
+    [[nodiscard]] bool is_clear(const header_list& headers) const {
+        const auto has_space = [](const header_list::field& field) {
+            return field.first.find_first_of(" \t") != std::string::npos;
+        };
+        const auto encoding = headers.find("Transfer-Encoding");
+        return parser.http_major == 1 && (!encoding || same_header(*encoding, "chunked")) &&
+               std::none_of(headers.fields().begin(), headers.fields().end(), has_space);
+    }
+
     int head_complete() {
         end_field();
         owner->head_complete_ = true;
-        if (owner->kind_ == kind::request) {
-            return request_complete();
+        const header_list& headers =
+            owner->kind_ == kind::request ? request.headers : response.headers;
+        owner->too_large_ =
+            owner->max_head_bytes_ != 0 && size_of(headers) > owner->max_head_bytes_;
+        if (owner->too_large_ || !is_clear(headers)) {
+            return malformed;
         }
-        return response_complete();
+        return owner->kind_ == kind::request ? request_complete() : response_complete();
     }
 
     int request_complete() {
@@ -152,7 +178,7 @@
         http_parser_execute(&native_->parser, &native::callbacks(), bytes.data(), bytes.size());
     if (!head_was_complete) {
         head_bytes_ += head_complete_ ? 0 : taken;
-        too_large_ = max_head_bytes_ != 0 && head_bytes_ > max_head_bytes_;
+        too_large_ = too_large_ || (max_head_bytes_ != 0 && head_bytes_ > max_head_bytes_);
     }
     const auto error = static_cast<http_errno>(native_->parser.http_errno);
     if (error == HPE_HEADER_OVERFLOW) {
--- a/src/node/duty_lease.cc
+++ b/src/node/duty_lease.cc
@@ -33,7 +33,7 @@
 }
 
 void duty_lease::start() {
-    timer_ = state_.loop.every(step_period, step_period, [this] { step(); });
+    timer_ = state_.timers.every(step_period, step_period, [this] { step(); });
 }
 
 bool duty_lease::is_candidate() const {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -32,6 +32,9 @@
 /// Descriptors that are left for everything but callers.
 constexpr std::size_t reserved_descriptors = 800;
 
+/// How often rows of dead nodes are looked for.
+constexpr micros dead_row_period{5'000'000};
+
 /// Servers register and renew often; the others' changes must arrive at once.
 constexpr micros registration_interval{250'000};
 
@@ -61,7 +64,7 @@
 
 struct node::parts_of_node {
     parts_of_node(const node_settings& settings, const node_dependencies& from)
-        : state(settings, from.loop, from.time, from.log, from.random, from.codec),
+        : state(settings, from.loop, from.loop, from.time, from.log, from.random, from.codec),
           configs(state, from.decoder, from.tables, [this] { on_config(); }),
           registrations(state, from.decoder, from.tables),
           config_follower(from.store, from.loop, from.time, from.random, from.tables.config_table,
@@ -88,6 +91,7 @@
     std::unique_ptr<usage_reporter> usage;
     std::unique_ptr<server_scaler> scaler;
     std::unique_ptr<timer_subscription> expiry;
+    std::unique_ptr<timer_subscription> dead_rows;
     std::unique_ptr<timer_subscription> stop_check;
     time_point stop_began{};
     /// How long after the stop began the last call had no final answer.
@@ -147,8 +151,13 @@
     if (state.settings.orders_servers) {
         parts_->scaler->start();
     }
-    parts_->expiry =
-        state.loop.every(expiry_period, expiry_period, [this] { parts_->registrations.expire(); });
+    parts_->expiry = state.timers.every(expiry_period, expiry_period,
+                                        [this] { parts_->registrations.expire(); });
+    parts_->dead_rows = state.timers.every(dead_row_period, dead_row_period, [this] {
+        if (parts_->lease->held()) {
+            parts_->peers->remove_dead_rows();
+        }
+    });
 }
 
 void node::begin_stop() {
@@ -162,7 +171,7 @@
     parts_->lease->release();
     parts_->peers->leave();
     parts_->stop_check =
-        state.loop.every(stop_check_period, stop_check_period, [this] { parts_->check_stop(); });
+        state.timers.every(stop_check_period, stop_check_period, [this] { parts_->check_stop(); });
 }
 
 void node::parts_of_node::check_stop() {
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -33,6 +33,8 @@
 inline constexpr log_event usage_not_reported{7053, log_severity::warning, "usage_not_reported"};
 inline constexpr log_event servers_ordered{7054, log_severity::info, "servers_ordered"};
 inline constexpr log_event servers_not_ordered{7055, log_severity::warning, "servers_not_ordered"};
+inline constexpr log_event dead_rows_not_removed{7057, log_severity::warning,
+                                                 "dead_rows_not_removed"};
 inline constexpr log_event own_row_not_written{7056, log_severity::warning, "own_row_not_written"};
 
 } // namespace jujubetide
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -12,6 +12,10 @@
 
 using json = nlohmann::json;
 
+/// A node that hears no other still names those that it heard within this time.
+constexpr micros lately{5'000'000};
+/// The row of a node that was not heard for this long is removed; if it lives it writes it again.
+constexpr micros row_lifetime{20'000'000};
 /// Wait before the own row is written again after a failure.
 constexpr micros row_retry{500'000};
 
@@ -60,7 +64,7 @@
 void peer_exchange::start() {
     row_wanted_ = true;
     write_own_row();
-    digest_timer_ = state_.loop.every(digest_period, digest_period, [this] {
+    digest_timer_ = state_.timers.every(digest_period, digest_period, [this] {
         look();
         tell();
     });
@@ -81,7 +85,7 @@
             return;
         }
         state_.log.write(own_row_not_written, {{"why", std::string(done.status().message())}});
-        row_timer_ = state_.loop.once(row_retry, [this] { write_own_row(); });
+        row_timer_ = state_.timers.once(row_retry, [this] { write_own_row(); });
     });
 }
 
@@ -135,7 +139,7 @@
     }
     peer& from = found->second;
     const time_point now = state_.time.now();
-    if (!lives(from)) {
+    if (!std::exchange(from.was_live, true)) {
         state_.log.write(peer_found, {{"peer", digest->node.str()}});
     }
     from.record.start = digest->start;
@@ -160,9 +164,8 @@
     for (auto& [node, one] : peers_) {
         if (lives(one)) {
             ++heard;
-        } else if (one.heard) {
-            one.heard.reset();
-            one.known_since = state_.time.now();
+        } else if (one.was_live) {
+            one.was_live = false;
             state_.loads.forget_peer(node);
             state_.log.write(peer_lost, {{"peer", node.str()}});
         }
@@ -220,18 +223,19 @@
 
 std::vector<endpoint> peer_exchange::caller_addresses() const {
     std::vector<endpoint> live;
-    std::vector<endpoint> known;
+    std::vector<endpoint> lately_live;
     for (const auto& [node, one] : peers_) {
-        if (one.is_leaving) {
+        if (one.is_leaving || !one.is_ready) {
             continue;
         }
-        known.push_back(one.record.callers);
-        if (lives(one) && one.is_ready) {
+        if (lives(one)) {
             live.push_back(one.record.callers);
+        } else if (one.heard && state_.time.now() - *one.heard < lately) {
+            lately_live.push_back(one.record.callers);
         }
     }
-    // A node that hears nobody cannot tell who lives.
-    std::vector<endpoint> addresses = live_peers() == 0 ? known : live;
+    // A node that hears nobody is likely cut off itself, rather than all others dead.
+    std::vector<endpoint> addresses = live_peers() == 0 ? lately_live : live;
     if (is_ready() || addresses.empty()) {
         addresses.push_back(state_.settings.callers);
     }
@@ -275,14 +279,24 @@
     return total;
 }
 
-std::vector<node_id> peer_exchange::silent_for(micros silence) const {
-    std::vector<node_id> list;
+void peer_exchange::remove_dead_rows() {
+    row_transaction removal;
     for (const auto& [node, one] : peers_) {
-        if (!lives(one) && state_.time.now() - one.known_since >= silence) {
-            list.push_back(node);
+        if (!lives(one) &&
+            state_.time.now() - one.heard.value_or(one.known_since) >= row_lifetime) {
+            removal.removals.push_back({table, node.str()});
         }
     }
-    return list;
+    // A node that hears nobody cannot tell who is dead.
+    if (removal.removals.empty() || live_peers() == 0) {
+        return;
+    }
+    store_.commit(removal, [this](const absl::StatusOr<row_version>& done) {
+        if (!done.ok()) {
+            state_.log.write(dead_rows_not_removed,
+                             {{"why", std::string(done.status().message())}});
+        }
+    });
 }
 
 } // namespace jujubetide
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -42,6 +42,8 @@
     void leave();
     /// Sends a digest now.
     void tell();
+    /// Removes the rows of nodes that were not heard for long; for the holder of the duties.
+    void remove_dead_rows();
     void set_holds_duties(bool holds) { holds_duties_ = holds; }
 
     [[nodiscard]] incarnation start_number() const { return start_; }
@@ -53,8 +55,6 @@
     [[nodiscard]] bool all_heard_since(time_point since) const;
     /// Servers that each service's calls need, over all nodes that live.
     [[nodiscard]] std::map<service_id, double> total_demand() const;
-    /// Nodes that were not heard for `silence`, by their rows.
-    [[nodiscard]] std::vector<node_id> silent_for(micros silence) const;
     [[nodiscard]] std::size_t live_peers() const;
     /// Whether this node is one of the few that take duties over, by the order of the names of
     /// those that live.
@@ -68,7 +68,10 @@
     struct peer {
         node_record record;
         time_point known_since{};
+        /// When its last digest came.
         std::optional<time_point> heard;
+        /// As of the last look.
+        bool was_live = false;
         bool is_ready = false;
         bool is_leaving = false;
         bool holds_duties = false;
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -107,7 +107,7 @@
     const auto alive = shared_from_this();
     state_.calls.insert(alive);
     const std::weak_ptr<proxied_call> weak = alive;
-    deadline_timer_ = state_.loop.once(std::max(micros{0}, time_left()), [weak] {
+    deadline_timer_ = state_.timers.once(std::max(micros{0}, time_left()), [weak] {
         if (const auto call = weak.lock()) {
             call->on_deadline();
         }
@@ -242,7 +242,7 @@
         return;
     }
     const std::weak_ptr<proxied_call> weak = weak_from_this();
-    silence_timer_ = state_.loop.every(silence_check_period, silence_check_period, [weak] {
+    silence_timer_ = state_.timers.every(silence_check_period, silence_check_period, [weak] {
         if (const auto call = weak.lock()) {
             call->on_silence();
         }
@@ -264,13 +264,13 @@
 bool proxied_call::do_head(const response_head& head) {
     answer_ = state_.codec.read_answer(head);
     const bool success = is_success(head.status);
-    const std::string& attempt = request_.fields.attempt;
-    if (answer_.attempt != attempt && (success || !answer_.attempt.empty())) {
-        return false; // A late answer to somebody else's call.
+    const bool is_own = answer_.attempt == request_.fields.attempt;
+    if (!is_own && !answer_.attempt.empty()) {
+        return false; // A late answer to another call.
     }
     head_ = head;
     has_head_ = true;
-    if (success && (!answer_.is_signed || answer_.is_encoded)) {
+    if (success && (!is_own || !answer_.is_signed || answer_.is_encoded)) {
         answer_failed(attempt_outcome::broken);
     }
     return true;
--- a/src/node/server_scaler.cc
+++ b/src/node/server_scaler.cc
@@ -20,7 +20,7 @@
     : state_(state), peers_(peers), lease_(lease), calls_(calls) {}
 
 void server_scaler::start() {
-    timer_ = state_.loop.every(step_period, step_period, [this] { step(); });
+    timer_ = state_.timers.every(step_period, step_period, [this] { step(); });
 }
 
 void server_scaler::step() {
--- a/src/node/serving_state.h
+++ b/src/node/serving_state.h
@@ -26,13 +26,16 @@
 
 /// What a node's parts share; all on the event loop's thread.
 struct serving_state {
-    serving_state(const node_settings& of, event_loop& on, const clock& time_source, log_sink& to,
-                  random_source& chance, const call_codec& translation)
-        : settings(of), loop(on), time(time_source), log(to), random(chance), codec(translation),
-          client(on, time_source), usage(of.usage_window) {}
+    serving_state(const node_settings& of, event_loop& on, timer_service& timed_by,
+                  const clock& time_source, log_sink& to, random_source& chance,
+                  const call_codec& translation)
+        : settings(of), loop(on), timers(timed_by), time(time_source), log(to), random(chance),
+          codec(translation), client(on, time_source), usage(of.usage_window) {}
 
     node_settings settings;
     event_loop& loop;
+    /// The loop's, but in tests.
+    timer_service& timers;
     const clock& time;
     log_sink& log;
     random_source& random;
--- a/src/node/table_watches.cc
+++ b/src/node/table_watches.cc
@@ -107,6 +107,8 @@
         state_.log.write(server_seen, {{"server", server.id.str()},
                                        {"service", server.service.str()},
                                        {"address", server.address.str()},
+                                       {"failure_domain", server.failure_domain.str()},
+                                       {"reclaimable", server.reclaimable ? "yes" : "no"},
                                        {"version", server.version.str()}});
     }
     if (server.leaving && (before == nullptr || !before->server.leaving)) {
--- a/src/node/usage_reporter.cc
+++ b/src/node/usage_reporter.cc
@@ -50,7 +50,7 @@
       first_(state.usage.window_at(state.time.wall_now())) {}
 
 void usage_reporter::start() {
-    timer_ = state_.loop.every(step_period, step_period, [this] { step(); });
+    timer_ = state_.timers.every(step_period, step_period, [this] { step(); });
 }
 
 void usage_reporter::step() {
--- a/src/serving/scaling_planner.cc
+++ b/src/serving/scaling_planner.cc
@@ -8,17 +8,26 @@
 namespace {
 
 /// Part of a server's time that its work may take while callers still get their targets.
-constexpr double target_use = 0.5;
+constexpr double target_use = 0.42;
 /// Servers beyond those needed on average, for bursts.
 constexpr double spare_servers = 1.0;
 /// Time in which a past peak loses most of its weight, in seconds.
 constexpr double peak_memory_s = 20.0;
 /// Part of the servers needed that is not reclaimable.
-constexpr double reliable_part = 0.25;
-/// Reclaimable servers as a multiple of those needed: a failure domain's worth may go at once.
-constexpr double reclaimable_part = 1.25;
+constexpr double reliable_part = 0.3;
+/// Reclaimable servers as a multiple of those needed; with the reliable ones, the loss of one of
+/// four failure domains leaves enough.
+constexpr double reclaimable_part = 1.0;
 /// Time beyond the boot time after which an ordered server counts as not to be had.
-constexpr micros order_slack{2'000'000};
+constexpr micros order_slack{1'500'000};
+/// A group that lost servers, or was refused some, is not counted on to get new ones for this long.
+constexpr micros distrust_time{10'000'000};
+/// Reliable servers are given up only when they were not wanted for this long.
+constexpr micros hold_time{8'000'000};
+/// The demand is known this long after the first calls; until then no reliable server is given up.
+constexpr micros learning_time{8'000'000};
+/// Demand below this is none, in servers.
+constexpr double least_demand = 0.05;
 
 std::vector<failure_domain_id> by_price(const scaling_limits& limits) {
     std::vector<failure_domain_id> domains;
@@ -73,40 +82,82 @@
     return peak_;
 }
 
-unsigned scaling_planner::missing(const scaling_limits& limits, const server_numbers& present,
-                                  time_point now) const {
+void scaling_planner::observe(const server_numbers& present, time_point now) {
+    for (auto& [group, state] : groups_) {
+        const auto found = present.find(group);
+        const unsigned here = found == present.end() ? 0 : found->second;
+        if (group.reclaimable && here < state.present && here < state.ordered) {
+            state.failed = now;
+        }
+        state.present = here;
+    }
+}
+
+void scaling_planner::on_refused(const server_group& group, time_point now) {
+    groups_[group].failed = now;
+}
+
+unsigned scaling_planner::available(const scaling_limits& limits, time_point now) const {
     unsigned sum = 0;
-    for (const auto& [group, count] : ordered_) {
-        const auto since = ordered_since_.find(group);
-        if (!group.reclaimable || since == ordered_since_.end() ||
-            now - since->second < limits.boot_time + order_slack) {
+    for (const auto& [group, state] : groups_) {
+        if (!group.reclaimable) {
             continue;
         }
-        const auto found = present.find(group);
-        const unsigned here = found == present.end() ? 0 : found->second;
-        sum += count - std::min(count, here);
+        const bool is_distrusted = state.failed && now - *state.failed < distrust_time;
+        const bool may_boot = now - state.increased < limits.boot_time + order_slack;
+        sum += may_boot && !is_distrusted ? state.ordered : std::min(state.present, state.ordered);
     }
     return sum;
 }
 
+unsigned scaling_planner::hold(unsigned wanted, time_point now) {
+    if (wanted >= held_ || now - held_at_ >= hold_time) {
+        held_ = wanted;
+        held_at_ = now;
+    }
+    return held_;
+}
+
+void scaling_planner::note_orders(const server_numbers& numbers, time_point now) {
+    for (const auto& [group, count] : numbers) {
+        group_state& state = groups_[group];
+        if (count > state.ordered) {
+            state.increased = now;
+        }
+        state.ordered = count;
+    }
+}
+
 server_numbers scaling_planner::plan(const scaling_limits& limits, double busy,
                                      const server_numbers& present, time_point now) {
+    observe(present, now);
+    if (!demand_since_ && busy >= least_demand) {
+        demand_since_ = now;
+    }
     const double needed = peak(busy, now) / target_use + spare_servers;
     const std::vector<failure_domain_id> domains = by_price(limits);
     server_numbers numbers;
+    unsigned reliable_here = 0;
     for (const failure_domain_id& domain : domains) {
         numbers[{domain, false}] = 0;
+        const auto found = present.find({domain, false});
+        reliable_here += found == present.end() ? 0 : found->second;
         if (limits.reclaimable_price) {
             numbers[{domain, true}] = 0;
         }
     }
+    double reliable = needed;
+    if (limits.reclaimable_price) {
+        reliable =
+            std::max(needed * reliable_part, needed - static_cast<double>(available(limits, now)));
+    }
+    unsigned count = up(reliable);
+    if (!demand_since_ || now - *demand_since_ < learning_time) {
+        count = std::max(count, reliable_here);
+    }
+    spread(numbers, limits, domains, false, hold(count, now));
     if (limits.reclaimable_price) {
-        const double lost = static_cast<double>(missing(limits, present, now));
-        spread(numbers, limits, domains, false,
-               up(needed * reliable_part + std::min(lost, needed * (1.0 - reliable_part))));
         spread(numbers, limits, domains, true, up(needed * reclaimable_part));
-    } else {
-        spread(numbers, limits, domains, false, up(needed));
     }
     for (const failure_domain_id& domain : domains) {
         const unsigned here = in_domain(numbers, domain);
@@ -114,13 +165,7 @@
             numbers[{domain, limits.reclaimable_price.has_value()}] += limits.min - here;
         }
     }
-    for (const auto& [group, count] : numbers) {
-        const auto before = ordered_.find(group);
-        if (before == ordered_.end() || before->second != count) {
-            ordered_since_[group] = now;
-        }
-    }
-    ordered_ = numbers;
+    note_orders(numbers, now);
     return numbers;
 }
 
--- /dev/null
+++ b/tests/adapter/boot_settings_test.cc
@@ -0,0 +1,76 @@
+#include "platform/boot_settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+namespace {
+
+const std::string whole = R"(
+nodeName = "n1"
+ip = "10.1.0.14"
+zone = "z1"
+region = "r1"
+internalPorts = [7600, 7615]
+somethingNew = true
+[listen]
+front = "10.1.0.14:8221"
+ready = "10.1.0.14:8224"
+directory = "10.1.0.14:8220"
+[limits]
+cpuShare = 0.25
+cores = 2
+maxFds = 4100
+[bounds]
+contactMs = 3000
+drainTimeoutMs = 2000
+gracePeriodS = 8
+configApplyMs = 2000
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 52
+leaseMs = 3000
+usageWindowS = 5
+usageLateS = 10
+canaryShare = 0.1
+canarySlack = 50
+ttl_max_s = 5
+[platform]
+address = "10.200.1.7:8225"
+[cloud]
+address = "10.200.0.35:8225"
+duties = ["usage_report"]
+)";
+
+} // namespace
+
+TEST_CASE("the platform's settings file is read and unknown fields are ignored") {
+    const auto settings = platform::parse_boot_settings(whole, "local.toml");
+    REQUIRE(settings.ok());
+    CHECK(settings->node == node_id("n1"));
+    CHECK(settings->peers == endpoint{"10.1.0.14", 7600});
+    CHECK(settings->directory == endpoint{"10.1.0.14", 8220});
+    CHECK(settings->cores == Approx(0.5));
+    CHECK(settings->stop_grace == millis{8'000});
+    CHECK(settings->reports_usage);
+    CHECK_FALSE(settings->orders_servers);
+}
+
+TEST_CASE("everything that is missing or wrong is told together, with its place") {
+    std::string text = whole;
+    text.replace(text.find("nodeName = \"n1\""), 15, "nodeName = 5");
+    text.replace(text.find("maxFds = 4100"), 13, "");
+    text.replace(text.find("10.200.1.7:8225"), 15, "not an address");
+    const auto settings = platform::parse_boot_settings(text, "local.toml");
+    REQUIRE_FALSE(settings.ok());
+    const std::string message(settings.status().message());
+    CHECK(message.find("local.toml:2: nodeName") != std::string::npos);
+    CHECK(message.find("limits.maxFds") != std::string::npos);
+    CHECK(message.find("platform.address") != std::string::npos);
+}
+
+TEST_CASE("a settings file that is no TOML names its line") {
+    const auto settings = platform::parse_boot_settings("a = 1\nb = = 2\n", "local.toml");
+    REQUIRE_FALSE(settings.ok());
+    CHECK(std::string(settings.status().message()).find("local.toml:2") != std::string::npos);
+}
--- /dev/null
+++ b/tests/adapter/call_headers_test.cc
@@ -0,0 +1,122 @@
+#include "platform/call_headers.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+namespace {
+
+request_head head_with(std::initializer_list<header_list::field> fields) {
+    request_head head;
+    head.method = "POST";
+    head.target = "/x/";
+    for (const auto& [name, value] : fields) {
+        head.headers.add(name, value);
+    }
+    return head;
+}
+
+} // namespace
+
+TEST_CASE("a call's fields are read") {
+    const platform::call_headers codec;
+    const auto fields = codec.read_call(head_with({{"host", "a.example:80"},
+                                                   {"X-Attempt-Id", "id-1"},
+                                                   {"X-Deadline-Ms", "1200"},
+                                                   {"Authorization", "Token k"},
+                                                   {"X-Token-Usage", "1460,80"},
+                                                   {"X-Prompt-Prefix", "5c:800, 91:410,e4:250"},
+                                                   {"X-Length-Hint", "33"}}));
+    REQUIRE(fields.ok());
+    CHECK(fields->host == "a.example");
+    CHECK(fields->attempt == "id-1");
+    CHECK(fields->patience == millis{1'200});
+    CHECK(fields->key == "k");
+    CHECK(fields->prompt_tokens == 1'460);
+    CHECK(fields->max_output_tokens == 80);
+    REQUIRE(fields->parts.size() == 3);
+    CHECK(fields->parts[1].id == "91");
+    CHECK(fields->parts[2].tokens == 250);
+    CHECK(fields->expected_output_tokens == 33);
+}
+
+TEST_CASE("fields that make no sense are told") {
+    const platform::call_headers codec;
+    const auto field = GENERATE(table<std::string, std::string>({{"X-Deadline-Ms", "soon"},
+                                                                 {"X-Deadline-Ms", "-5"},
+                                                                 {"X-Token-Usage", "1"},
+                                                                 {"X-Token-Usage", "1,x"},
+                                                                 {"X-Prompt-Prefix", "5c800"},
+                                                                 {"X-Prompt-Prefix", ":8"}}));
+    CHECK_FALSE(codec.read_call(head_with({{std::get<0>(field), std::get<1>(field)}})).ok());
+}
+
+TEST_CASE("a backend server gets the caller's headers, but nothing that only the system may set") {
+    const platform::call_headers codec;
+    const request_head head = head_with({{"Host", "a.example"},
+                                         {"X-Attempt-Id", "id-1"},
+                                         {"X-Model", "m"},
+                                         {"X-Own", "kept"},
+                                         {"Authorization", "Token secret"},
+                                         {"X-Tenant", "forged"},
+                                         {"x-hold", "forged"},
+                                         {"X-Pin-Ms", "forged"},
+                                         {"X-Kv-Backup", "forged"},
+                                         {"Kv-From", "forged"},
+                                         {"Kv-Fetch", "forged"},
+                                         {"X-Expect-Instance", "forged"},
+                                         {"X-Request-Priority", "forged"},
+                                         {"X-Deadline-Ms", "99999"},
+                                         {"Content-Length", "3"},
+                                         {"Transfer-Encoding", "chunked"},
+                                         {"Connection", "keep-alive, X-Per-Connection"},
+                                         {"X-Per-Connection", "dropped"},
+                                         {"Keep-Alive", "timeout=5"}});
+    attempt_fields fields;
+    fields.server = backend_server_id("i-1");
+    fields.patience = millis{500};
+    fields.customer = customer_id("c");
+    fields.priority = 3;
+    const header_list sent = codec.server_headers(head, fields);
+    CHECK(sent.find("Host") == "a.example");
+    CHECK(sent.find("X-Attempt-Id") == "id-1");
+    CHECK(sent.find("X-Model") == "m");
+    CHECK(sent.find("X-Own") == "kept");
+    CHECK(sent.find("X-Tenant") == "c");
+    CHECK(sent.find("X-Expect-Instance") == "i-1");
+    CHECK(sent.find("X-Deadline-Ms") == "500");
+    CHECK(sent.find("X-Request-Priority") == "3");
+    for (const char* name :
+         {"Authorization", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch", "Connection",
+          "X-Per-Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length"}) {
+        CHECK_FALSE(sent.has(name));
+    }
+    for (const auto& [name, value] : sent.fields()) {
+        CHECK(value != "forged");
+    }
+}
+
+TEST_CASE("a server's word on an answer is read") {
+    const platform::call_headers codec;
+    response_head head;
+    head.status = 503;
+    head.headers.add("X-Not-Executed", "1");
+    CHECK(codec.read_answer(head).not_run);
+    head = {};
+    head.status = 421;
+    CHECK(codec.read_answer(head).not_run);
+    CHECK(codec.read_answer(head).wrong_server);
+    head = {};
+    head.status = 503;
+    CHECK_FALSE(codec.read_answer(head).not_run);
+    head.headers.add("X-Upstream-Signature", "s");
+    head.headers.add("X-Attempt-Id", "id");
+    CHECK(codec.read_answer(head).is_signed);
+    CHECK(codec.read_answer(head).attempt == "id");
+}
+
+TEST_CASE("a refusal says in seconds when to come back") {
+    const platform::call_headers codec;
+    CHECK(codec.own_headers("id", millis{1'250}).find("Retry-After") == "1.250");
+    CHECK_FALSE(codec.own_headers("id", {}).has("Retry-After"));
+}
--- /dev/null
+++ b/tests/adapter/row_codec_test.cc
@@ -0,0 +1,82 @@
+#include "platform/row_codec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+namespace {
+
+constexpr const char* config_text = R"({
+  "version": 7, "limits": {"maxHeaderBytes": 100, "idleTimeoutMs": 15000},
+  "routes": [
+    {"name": "r1", "host": "h", "prefix": "/a/", "kind": "streaming", "timeoutMs": 12000,
+     "targetLatencyMs": 1200, "priority": 1, "maxAttempts": 1, "public": false,
+     "streamResume": true, "targetGapMs": 500,
+     "weightedServices": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}]},
+    {"name": "r2", "host": "h", "prefix": "/b/", "kind": "strange", "timeoutMs": 900.5,
+     "service": "s2"}],
+  "services": [
+    {"name": "s1", "healthPath": "/healthz", "maxConnections": 360,
+     "engine": {"slots": 64, "kvCacheTokens": 484124, "stride": 3},
+     "scaling": {"minReplicas": 1, "maxReplicas": 6, "bootTimeS": 4.0, "spotPrice": 0.22,
+                 "zonePrices": {"z1": 1.0, "z2": 0.8}}},
+    {"name": "s2"}],
+  "tenants": [{"name": "c", "apiKeys": ["k1", "k2"], "priority": 1, "unit": "token_count",
+               "plainTokens": 200, "ratePerS": 1000, "burst": 500}]})";
+
+constexpr const char* registration_text =
+    R"({"service":"s1","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":64,
+        "state":"ready","coldRemainingMs":0,"sequence":4,"born":1700000000000,"spot":true})";
+
+} // namespace
+
+TEST_CASE("a configuration is read") {
+    const platform::row_codec codec;
+    const auto parts = codec.config(config_text);
+    REQUIRE(parts.ok());
+    CHECK(parts->version == 7);
+    REQUIRE(parts->routes.size() == 2);
+    CHECK(parts->routes[0].kind == call_kind::streaming);
+    CHECK(parts->routes[0].is_resumable);
+    CHECK(parts->routes[0].services.size() == 2);
+    CHECK(parts->routes[0].timeout == millis{12'000});
+    // A kind that is not known is never repeated.
+    CHECK(parts->routes[1].kind == call_kind::non_idempotent);
+    CHECK(parts->services[0].engine->tokens_per_event == 3);
+    CHECK(parts->services[0].scaling->prices.at(failure_domain_id("z2")) == 0.8);
+    CHECK_FALSE(parts->services[1].engine.has_value());
+    CHECK(parts->customers[0].cap_in_tokens);
+    CHECK(parts->customers[0].plain_usage == 200);
+    CHECK(parts->limits.max_header_bytes == 100);
+}
+
+TEST_CASE("what is no configuration is told") {
+    const platform::row_codec codec;
+    const auto text = GENERATE(as<std::string>(), "", "{", "[]", "{}", R"({"version":"7"})",
+                               R"({"version":7,"routes":[{}],"services":[]})",
+                               R"({"version":7,"routes":{"a":1},"services":[]})", "\xff\xfe");
+    CHECK_FALSE(codec.config(text).ok());
+}
+
+TEST_CASE("a registration is read, and a stranger's is not") {
+    const platform::row_codec codec;
+    const backend_server_id id("i-1");
+    const auto server = codec.registration(id, registration_text);
+    REQUIRE(server.ok());
+    CHECK(server->address == endpoint{"10.0.0.9", 8080});
+    CHECK(server->reclaimable);
+    CHECK(server->started_at_ms == 1'700'000'000'000);
+    CHECK_FALSE(server->leaving);
+    std::string text = registration_text;
+    const auto with = [&](const std::string& from, const std::string& to) {
+        std::string changed = text;
+        changed.replace(changed.find(from), from.size(), to);
+        return codec.registration(id, changed);
+    };
+    CHECK(with("\"ready\"", "\"draining\"")->leaving);
+    CHECK_FALSE(with("\"ready\"", "\"melting\"").ok());
+    CHECK_FALSE(with("\"slots\":64", "\"slots\":\"64\"").ok());
+    CHECK_FALSE(with("10.0.0.9:8080", "somewhere").ok());
+    CHECK_FALSE(with("\"zone\":\"z1\",", "").ok());
+    CHECK_FALSE(codec.registration(id, "\x80\x81").ok());
+}
--- /dev/null
+++ b/tests/http1/http1_client_test.cc
@@ -0,0 +1,148 @@
+#include "support/blocking_peer.h"
+#include "support/loop_runner.h"
+#include "support/recorded_call.h"
+#include "support/scripted_server.h"
+
+#include "jujubetide/edge/boot_clock.h"
+#include "jujubetide/http1/http1_client.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+#include <unistd.h>
+
+using namespace jujubetide;
+
+namespace {
+
+struct client_fixture {
+    /// Makes a call and waits for its end.
+    void call(const endpoint& to, recorded_call& events, call_options options = {}) {
+        const auto running =
+            client.call(to, serialize_request("GET", "/", {}, ""), options, events);
+        run_until(loop, [&] { return events.over(); });
+    }
+    /// As above, of a peer that answers with these bytes and then acts.
+    void call_raw(const std::string& bytes, recorded_call& events,
+                  const std::function<void(int)>& then) {
+        blocking_peer peer([&](int socket) {
+            read_until(socket, "\r\n\r\n");
+            send_all(socket, bytes);
+            then(socket);
+        });
+        call(peer.address(), events);
+    }
+
+    event_loop loop;
+    boot_clock time;
+    http1_client client{loop, time};
+};
+
+constexpr auto close_socket = [](int socket) { ::close(socket); };
+
+} // namespace
+
+TEST_CASE("a kept connection carries the next call") {
+    client_fixture fixture;
+    scripted_server server(fixture.loop, fixture.time,
+                           [](scripted_call& call) { call.exchange->respond(200, {}, "ok"); });
+    recorded_call first;
+    recorded_call second;
+    fixture.call(server.address(), first);
+    fixture.call(server.address(), second);
+    CHECK(first.body == "ok");
+    CHECK(second.body == "ok");
+    CHECK(fixture.client.connections_made() == 1);
+}
+
+TEST_CASE("a connection that was idle too long is not used") {
+    client_fixture fixture;
+    scripted_server server(fixture.loop, fixture.time,
+                           [](scripted_call& call) { call.exchange->respond(200, {}, "ok"); });
+    recorded_call first;
+    recorded_call second;
+    fixture.call(server.address(), first);
+    call_options fresh;
+    fresh.max_idle = micros{0};
+    fixture.call(server.address(), second, fresh);
+    CHECK(second.whole);
+    CHECK(fixture.client.connections_made() == 2);
+}
+
+TEST_CASE("an answer is whole only with its last byte") {
+    const auto [bytes, whole] = GENERATE(table<std::string, bool>(
+        {{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour", true},
+         {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfour", false},
+         {"HTTP/1.1 200 OK\r\n\r\nuntil the end", true},
+         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n", false},
+         {"HTTP/1.1 200 OK\r\nno colon here\r\n\r\n", false},
+         {"\x01\x02garbage", false},
+         {"", false}}));
+    client_fixture fixture;
+    recorded_call events;
+    fixture.call_raw(bytes, events, close_socket);
+    CHECK(events.whole == whole);
+    CHECK(events.failure.has_value() != whole);
+}
+
+TEST_CASE("an answer without a length that is reset is not whole") {
+    client_fixture fixture;
+    recorded_call events;
+    fixture.call_raw("HTTP/1.1 200 OK\r\n\r\nuntil the", events, [](int socket) { reset(socket); });
+    CHECK(events.failure == call_failure::broken);
+}
+
+TEST_CASE("an answer to another call is skipped") {
+    client_fixture fixture;
+    recorded_call events;
+    events.to_skip = 1;
+    fixture.call_raw("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"
+                     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine",
+                     events, close_socket);
+    CHECK(events.whole);
+    CHECK(events.body == "mine");
+}
+
+TEST_CASE("bytes after a whole answer end the connection") {
+    client_fixture fixture;
+    std::atomic<bool> go_on{false};
+    blocking_peer peer([&](int socket) {
+        read_until(socket, "\r\n\r\n");
+        send_all(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+        while (!go_on) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        ::close(socket);
+    });
+    recorded_call events;
+    fixture.call(peer.address(), events);
+    CHECK(events.whole);
+    CHECK(fixture.client.connections_to(peer.address()) == 0);
+    go_on = true;
+}
+
+TEST_CASE("a call without a connection was not sent") {
+    client_fixture fixture;
+    recorded_call events;
+    fixture.call({"127.0.0.1", 1}, events);
+    CHECK(events.failure == call_failure::not_connected);
+}
+
+TEST_CASE("a call that takes too long times out, and a cancelled one closes its connection") {
+    client_fixture fixture;
+    scripted_server server(fixture.loop, fixture.time, [](scripted_call&) {});
+    recorded_call events;
+    call_options options;
+    options.timeout = millis{50};
+    fixture.call(server.address(), events, options);
+    CHECK(events.failure == call_failure::timed_out);
+
+    recorded_call cancelled;
+    auto running =
+        fixture.client.call(server.address(), serialize_request("GET", "/", {}, ""), {}, cancelled);
+    REQUIRE(run_until(fixture.loop, [&] { return server.calls().size() == 2; }));
+    running.reset();
+    CHECK(run_until(fixture.loop, [&] { return server.calls()[1]->caller_gone; }));
+    CHECK_FALSE(cancelled.over());
+}
--- /dev/null
+++ b/tests/http1/http1_server_test.cc
@@ -0,0 +1,132 @@
+#include "support/blocking_peer.h"
+#include "support/loop_runner.h"
+#include "support/manual_clock.h"
+#include "support/recorded_call.h"
+#include "support/scripted_server.h"
+
+#include "jujubetide/edge/boot_clock.h"
+#include "jujubetide/http1/http1_server.h"
+
+#include <catch2/catch.hpp>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace jujubetide;
+
+namespace {
+
+struct server_fixture {
+    explicit server_fixture(scripted_server::script answer) : server(loop, time, answer) {}
+
+    std::string take(int socket) {
+        char bytes[4096];
+        std::string got;
+        for (ssize_t n = ::recv(socket, bytes, sizeof bytes, MSG_DONTWAIT); n > 0;
+             n = ::recv(socket, bytes, sizeof bytes, MSG_DONTWAIT)) {
+            got.append(bytes, static_cast<std::size_t>(n));
+        }
+        return got;
+    }
+    /// What the server answers to `bytes` until `end` was seen.
+    std::string talk(int socket, const std::string& bytes, const std::string& end) {
+        send_all(socket, bytes);
+        std::string got;
+        run_until(loop, [&] {
+            got += take(socket);
+            return got.find(end) != std::string::npos;
+        });
+        return got;
+    }
+
+    event_loop loop;
+    boot_clock time;
+    scripted_server server;
+};
+
+void echo(scripted_call& call) {
+    header_list headers;
+    call.exchange->respond(200, headers, call.head.target + " " + call.body);
+}
+
+} // namespace
+
+TEST_CASE("requests on one connection are answered in order, also when sent ahead") {
+    server_fixture fixture(echo);
+    const int socket = connect_to(fixture.server.address());
+    const std::string got = fixture.talk(
+        socket, "POST /1 HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET /2 HTTP/1.1\r\n\r\n", "/2 ");
+    CHECK(got.find("/1 abc") < got.find("/2 "));
+    ::close(socket);
+}
+
+TEST_CASE("bad requests get their status, reach no handler and end the connection") {
+    const auto [request, status] = GENERATE(table<std::string, std::string>(
+        {{"NONSENSE\r\n\r\n", "400"},
+         {"GET / HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n", "431"},
+         {"POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", "413"},
+         {"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "400"}}));
+    server_fixture fixture(echo);
+    const int socket = connect_to(fixture.server.address());
+    const std::string got = fixture.talk(socket, request, "\r\n\r\n{}");
+    CHECK(got.substr(0, 12) == "HTTP/1.1 " + status);
+    CHECK(got.find("Connection: close") != std::string::npos);
+    CHECK(fixture.server.calls().empty());
+    ::close(socket);
+}
+
+TEST_CASE("a request that does not end its headers in time gets 408") {
+    server_fixture fixture(echo);
+    http1_limits limits;
+    limits.head_timeout = millis{300};
+    fixture.server.server().set_limits(limits);
+    const int socket = connect_to(fixture.server.address());
+    const std::string got = fixture.talk(socket, "GET / HTTP/1.1\r\nX-Slow: ", "{}");
+    CHECK(got.substr(0, 12) == "HTTP/1.1 408");
+    ::close(socket);
+}
+
+TEST_CASE("the handler hears at once that its caller has gone") {
+    server_fixture fixture([](scripted_call&) {});
+    const int socket = connect_to(fixture.server.address());
+    send_all(socket, "GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(run_until(fixture.loop, [&] { return fixture.server.calls().size() == 1; }));
+    ::close(socket);
+    CHECK(run_until(
+        fixture.loop, [&] { return fixture.server.calls()[0]->caller_gone; },
+        std::chrono::seconds(5)));
+}
+
+TEST_CASE("a response that is broken off does not look whole") {
+    server_fixture fixture([](scripted_call& call) {
+        call.exchange->begin(200, {}, body_framing::chunked, 0);
+        call.exchange->write("part");
+        call.exchange->abort();
+    });
+    const int socket = connect_to(fixture.server.address());
+    send_all(socket, "GET / HTTP/1.1\r\n\r\n");
+    std::string got;
+    run_until(fixture.loop, [&] {
+        char byte = 0;
+        got += fixture.take(socket);
+        return ::recv(socket, &byte, 1, MSG_DONTWAIT | MSG_PEEK) == 0;
+    });
+    CHECK(got.find("part") != std::string::npos);
+    CHECK(got.find("0\r\n\r\n") == std::string::npos);
+    ::close(socket);
+}
+
+TEST_CASE("a closing server tells callers so and closes what is idle") {
+    server_fixture fixture(echo);
+    const int idle = connect_to(fixture.server.address());
+    const int busy = connect_to(fixture.server.address());
+    CHECK(fixture.talk(busy, "GET /1 HTTP/1.1\r\n\r\n", "/1").find("close") == std::string::npos);
+    fixture.server.server().begin_closing();
+    CHECK(fixture.talk(busy, "GET /2 HTTP/1.1\r\n\r\n", "/2").find("Connection: close") !=
+          std::string::npos);
+    REQUIRE(run_until(fixture.loop, [&] { return fixture.server.server().connections() == 1; }));
+    fixture.server.server().close_idle();
+    CHECK(fixture.server.server().connections() == 0);
+    ::close(idle);
+    ::close(busy);
+}
--- /dev/null
+++ b/tests/net/tcp_connection_test.cc
@@ -0,0 +1,105 @@
+#include "support/blocking_peer.h"
+#include "support/loop_runner.h"
+
+#include "jujubetide/net/event_loop.h"
+#include "jujubetide/net/tcp_connection.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <optional>
+#include <thread>
+#include <unistd.h>
+
+using namespace jujubetide;
+
+namespace {
+
+class recorded_connection final : public connection_events {
+public:
+    bool connected = false;
+    std::string data;
+    std::optional<connection_end> end;
+
+protected:
+    void do_connected() override { connected = true; }
+    void do_data(std::string_view bytes) override { data += bytes; }
+    void do_end(connection_end how) override { end = how; }
+};
+
+} // namespace
+
+TEST_CASE("a connection that its peer closes ends in order after its last byte") {
+    event_loop loop;
+    blocking_peer peer([](int socket) {
+        send_all(socket, "last words");
+        ::close(socket);
+    });
+    recorded_connection events;
+    const auto connection = tcp_connection::connect(loop, peer.address(), events);
+    REQUIRE(run_until(loop, [&] { return events.end.has_value(); }));
+    CHECK(events.data == "last words");
+    CHECK(*events.end == connection_end::closed);
+}
+
+TEST_CASE("a reset right after the last bytes is no orderly end") {
+    // The loop looks at the socket only when both the bytes and the reset have come.
+    event_loop loop;
+    std::atomic<bool> is_reset{false};
+    blocking_peer peer([&is_reset](int socket) {
+        send_all(socket, "half an ans");
+        reset(socket);
+        is_reset = true;
+    });
+    recorded_connection events;
+    const auto connection = tcp_connection::connect(loop, peer.address(), events);
+    while (!is_reset) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    REQUIRE(run_until(loop, [&] { return events.end.has_value(); }));
+    CHECK(*events.end == connection_end::failed);
+}
+
+TEST_CASE("a connection that is refused fails after connect has returned") {
+    event_loop loop;
+    const endpoint nobody{"127.0.0.1", 1};
+    recorded_connection events;
+    const auto connection = tcp_connection::connect(loop, nobody, events);
+    CHECK_FALSE(events.end.has_value());
+    REQUIRE(run_until(loop, [&] { return events.end.has_value(); }));
+    CHECK(*events.end == connection_end::failed);
+    CHECK_FALSE(events.connected);
+}
+
+TEST_CASE("no event follows the owner's close") {
+    event_loop loop;
+    std::atomic<bool> is_closed{false};
+    blocking_peer peer([&is_closed](int socket) {
+        while (!is_closed) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        send_all(socket, "bytes");
+        ::close(socket);
+    });
+    recorded_connection events;
+    const auto connection = tcp_connection::connect(loop, peer.address(), events);
+    REQUIRE(run_until(loop, [&] { return events.connected; }));
+    is_closed = true;
+    connection->close();
+    const std::string before = events.data;
+    run_for(loop, millis{20});
+    CHECK(events.data == before);
+    CHECK_FALSE(events.end.has_value());
+}
+
+TEST_CASE("timers fire in order and not after their subscriptions end") {
+    event_loop loop;
+    std::string fired;
+    const auto second = loop.once(millis{6}, [&] { fired += "b"; });
+    const auto first = loop.once(millis{2}, [&] { fired += "a"; });
+    auto cancelled = loop.once(millis{3}, [&] { fired += "x"; });
+    cancelled.reset();
+    const auto repeated = loop.every(millis{4}, millis{8}, [&] { fired += "c"; });
+    REQUIRE(run_until(loop, [&] { return fired.size() >= 4; }));
+    CHECK(fired.substr(0, 4) == "abcc");
+}
--- /dev/null
+++ b/tests/node/duties_test.cc
@@ -0,0 +1,165 @@
+#include "node/duty_lease.h"
+#include "node/usage_reporter.h"
+#include "node_fixture.h"
+#include "support/manual_clock.h"
+#include "support/manual_timer_service.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+namespace {
+
+/// The parts of one node that carry out duties, on time that the test moves.
+struct duty_node {
+    duty_node(event_loop& loop, manual_timer_service& timers, manual_clock& time,
+              fake_row_store& store, const std::string& name, std::uint64_t start)
+        : state(settings_of(name), loop, timers, time, log, random, headers),
+          peers(*peer_exchange::make(state, store, incarnation(start))),
+          lease(state, store, *peers), reporter(state, store, *peers, lease, calls) {
+        serving_config::parts parts;
+        serving_customer customer;
+        customer.id = customer_id("c");
+        parts.customers = {customer};
+        state.config = serving_config::make(parts);
+        lease.start();
+        reporter.start();
+    }
+    static node_settings settings_of(const std::string& name) {
+        node_settings settings;
+        settings.node = node_id(name);
+        settings.peers = {"127.0.0.1", 0};
+        return settings;
+    }
+
+    recorded_log log;
+    seeded_random random{1};
+    platform::call_headers headers;
+    recorded_fleet_calls calls;
+    serving_state state;
+    std::unique_ptr<peer_exchange> peers;
+    duty_lease lease;
+    usage_reporter reporter;
+};
+
+struct duty_fixture {
+    void advance(millis step) {
+        for (millis done{0}; done < step; done += millis{5}) {
+            time.advance(millis{5});
+            timers.advance(millis{5});
+        }
+    }
+    std::unique_ptr<duty_node> make(const std::string& name, std::uint64_t start) {
+        return std::make_unique<duty_node>(loop, timers, time, store, name, start);
+    }
+
+    event_loop loop;
+    manual_clock time;
+    manual_timer_service timers;
+    fake_row_store store{timers};
+};
+
+const customer_id customer("c");
+
+} // namespace
+
+TEST_CASE("one node of two holds the duties, and the other takes over after its end") {
+    duty_fixture fixture;
+    auto first = fixture.make("n1", 1);
+    fixture.advance(millis{2'000});
+    CHECK(first->lease.held());
+    auto second = fixture.make("n2", 2);
+    for (int i = 0; i < 20; ++i) {
+        fixture.advance(millis{500});
+        CHECK(first->lease.held());
+        CHECK_FALSE(second->lease.held());
+    }
+    first.reset();
+    fixture.advance(millis{10'000});
+    CHECK(second->lease.held());
+}
+
+TEST_CASE("a lease whose renewals fail ends before another node can hold it") {
+    duty_fixture fixture;
+    const auto first = fixture.make("n1", 1);
+    fixture.advance(millis{2'000});
+    REQUIRE(first->lease.held());
+    fixture.store.set_failure(absl::UnavailableError("down"));
+    const auto second = fixture.make("n2", 2);
+    fixture.advance(millis{6'000});
+    CHECK_FALSE(first->lease.held());
+    CHECK_FALSE(first->lease.permit().ok());
+    fixture.store.set_failure(absl::OkStatus());
+    for (int i = 0; i < 200; ++i) {
+        fixture.advance(millis{50});
+        CHECK_FALSE((first->lease.held() && second->lease.held()));
+    }
+    CHECK((first->lease.held() || second->lease.held()));
+}
+
+TEST_CASE("each window is reported once, with its count") {
+    duty_fixture fixture;
+    const auto node = fixture.make("n1", 1);
+    fixture.advance(millis{3'000});
+    const usage_window window = node->state.usage.window_at(fixture.time.wall_now());
+    for (int i = 0; i < 7; ++i) {
+        node->state.usage.count(customer, fixture.time.wall_now());
+    }
+    fixture.advance(millis{20'000});
+    int reports = 0;
+    for (const auto& report : node->calls.reports) {
+        if (report.window == window) {
+            ++reports;
+            CHECK(report.counts.at(customer) == 7);
+        }
+    }
+    CHECK(reports == 1);
+}
+
+TEST_CASE("a successor repeats the figures that its predecessor wrote, not its own") {
+    duty_fixture fixture;
+    auto first = fixture.make("n1", 1);
+    fixture.advance(millis{3'000});
+    const usage_window window = first->state.usage.window_at(fixture.time.wall_now());
+    first->state.usage.count(customer, fixture.time.wall_now());
+    // The report is written, but the call that sends it fails until the holder is gone.
+    first->calls.answer = absl::UnavailableError("down");
+    fixture.advance(millis{7'000});
+    REQUIRE_FALSE(fixture.store.rows(usage_reporter::table).empty());
+    first.reset();
+    const auto second = fixture.make("n2", 2);
+    second->state.usage.count(customer, fixture.time.wall_now() - millis{7'000});
+    second->state.usage.count(customer, fixture.time.wall_now() - millis{7'000});
+    fixture.advance(millis{9'000});
+    bool repeated = false;
+    for (const auto& report : second->calls.reports) {
+        if (report.window == window) {
+            repeated = true;
+            CHECK(report.counts.at(customer) == 1);
+            CHECK(report.by.fencing > fencing_number(1));
+        }
+    }
+    CHECK(repeated);
+}
+
+TEST_CASE("a report whose write got no answer is not sent with other figures") {
+    duty_fixture fixture;
+    const auto node = fixture.make("n1", 1);
+    fixture.advance(millis{3'000});
+    const usage_window window = node->state.usage.window_at(fixture.time.wall_now());
+    node->state.usage.count(customer, fixture.time.wall_now());
+    fixture.advance(millis{3'000});
+    fixture.store.set_lose_answers(true);
+    fixture.advance(millis{3'000});
+    // A late digest would change the sum; the row that was written decides.
+    node->state.usage.on_peer_counts(node_id("late"), incarnation(1), window, {{customer, 5}});
+    fixture.store.set_lose_answers(false);
+    fixture.advance(millis{9'000});
+    std::set<std::uint64_t> figures;
+    for (const auto& report : node->calls.reports) {
+        if (report.window == window) {
+            figures.insert(report.counts.at(customer));
+        }
+    }
+    CHECK(figures.size() == 1);
+}
--- /dev/null
+++ b/tests/node/node_fixture.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "platform/call_headers.h"
+#include "platform/row_codec.h"
+#include "support/fake_row_store.h"
+#include "support/loop_runner.h"
+#include "support/recorded_call.h"
+#include "support/scripted_server.h"
+
+#include "jujubetide/edge/boot_clock.h"
+#include "jujubetide/node/node.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jujubetide {
+
+/// Keeps log lines for tests.
+class recorded_log final : public log_sink {
+public:
+    struct line {
+        std::string name;
+        std::map<std::string, std::string> fields;
+    };
+    std::vector<line> lines;
+    [[nodiscard]] int count(const std::string& name) const;
+
+protected:
+    void do_write(const log_event& event, std::initializer_list<log_field> fields) override;
+};
+
+/// Records the calls for duties.
+class recorded_fleet_calls final : public fleet_calls {
+public:
+    struct report {
+        authority by;
+        usage_window window;
+        usage_counts counts;
+    };
+    std::vector<report> reports;
+    std::vector<server_order> orders;
+    absl::Status answer;
+
+protected:
+    void do_report_usage(const authority& by, usage_window window, const usage_counts& counts,
+                         handler done) override {
+        reports.push_back({by, window, counts});
+        done(answer);
+    }
+    void do_order_servers(const authority&, const server_order& order, handler done) override {
+        orders.push_back(order);
+        done(answer);
+    }
+};
+
+/// One node on the test's loop, with stores and backend servers that the test writes.
+struct node_fixture {
+    node_fixture();
+    ~node_fixture();
+
+    /// Puts a configuration with these fields of the routes `/once/`, `/often/`, `/stream/` and
+    /// `/resumed/` in force and waits for it.
+    void start(const nlohmann::json& route_changes = nlohmann::json::object());
+    /// Registers a server of the plain or the model service that answers by `script`.
+    scripted_server& add_server(const std::string& id, const std::string& service,
+                                scripted_server::script script);
+    /// Sends a request with the customer's key, and `headers` besides.
+    std::unique_ptr<http1_call> send(const std::string& path, recorded_call& events,
+                                     const header_list& headers = {});
+    /// As above, and waits for the end.
+    recorded_call call(const std::string& path, const header_list& headers = {});
+
+    event_loop loop;
+    boot_clock time;
+    seeded_random random{1};
+    recorded_log log;
+    platform::call_headers headers;
+    platform::row_codec rows;
+    fake_row_store store{loop};
+    recorded_fleet_calls calls;
+    std::unique_ptr<node> tested;
+    http1_client client{loop, time};
+    std::vector<std::unique_ptr<scripted_server>> servers;
+    std::uint64_t config_version = 1;
+};
+
+/// A whole signed answer to a call.
+void answer(scripted_call& call, int status, const std::string& body);
+/// Begins a signed stream of events.
+void begin_events(scripted_call& call);
+std::string event_text(int id);
+
+} // namespace jujubetide
--- /dev/null
+++ b/tests/node/node_streams_test.cc
@@ -0,0 +1,161 @@
+#include "node_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+namespace {
+
+/// Sends the events `from` to `to` and leaves the stream open.
+void send_events(scripted_call& call, int from, int to) {
+    begin_events(call);
+    for (int id = from; id <= to; ++id) {
+        call.exchange->write(event_text(id));
+    }
+}
+
+std::string events_between(int from, int to) {
+    std::string text;
+    for (int id = from; id <= to; ++id) {
+        text += event_text(id);
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("events go to the caller as they come") {
+    node_fixture fixture;
+    fixture.start();
+    scripted_server& server =
+        fixture.add_server("i-1", "model", [](scripted_call& call) { send_events(call, 1, 1); });
+    recorded_call events;
+    const auto running = fixture.send("/stream/", events);
+    REQUIRE(run_until(fixture.loop, [&] { return events.body == event_text(1); }));
+    CHECK_FALSE(events.over());
+    server.calls()[0]->exchange->write(event_text(2));
+    server.calls()[0]->exchange->finish();
+    REQUIRE(run_until(fixture.loop, [&] { return events.over(); }));
+    CHECK(events.whole);
+    CHECK(events.body == events_between(1, 2));
+}
+
+TEST_CASE("a stream that breaks and may not be resumed does not look whole") {
+    node_fixture fixture;
+    fixture.start();
+    scripted_server& server =
+        fixture.add_server("i-1", "model", [](scripted_call& call) { send_events(call, 1, 2); });
+    fixture.add_server("i-2", "model", [](scripted_call& call) { send_events(call, 1, 2); });
+    recorded_call events;
+    const auto running = fixture.send("/stream/", events);
+    REQUIRE(run_until(fixture.loop, [&] { return !events.body.empty(); }));
+    for (const auto& one : fixture.servers) {
+        for (const auto& call : one->calls()) {
+            call->exchange->write("id: 3\nda");
+            call->exchange->abort();
+        }
+    }
+    REQUIRE(run_until(fixture.loop, [&] { return events.over(); }));
+    CHECK(events.failure == call_failure::broken);
+    CHECK(events.body == events_between(1, 2));
+    CHECK(server.calls().size() + fixture.servers[1]->calls().size() == 1);
+}
+
+TEST_CASE("a stream that may be resumed goes on at another server within the same answer") {
+    node_fixture fixture;
+    fixture.start();
+    const auto script = [](scripted_call& call) {
+        const auto last = call.head.headers.find("Last-Event-Id");
+        if (!last) {
+            send_events(call, 1, 2);
+            call.exchange->write("id: 3\nda");
+            call.exchange->abort();
+            return;
+        }
+        send_events(call, std::stoi(std::string(*last)) + 1, 5);
+        call.exchange->finish();
+    };
+    fixture.add_server("i-1", "model", script);
+    fixture.add_server("i-2", "model", script);
+    const recorded_call got = fixture.call("/resumed/");
+    CHECK(got.whole);
+    CHECK(got.body == events_between(1, 5));
+}
+
+TEST_CASE("a stream whose server falls silent is resumed elsewhere") {
+    node_fixture fixture;
+    fixture.start({{"resumed", {{"timeoutMs", 10'000}}}});
+    const auto script = [](scripted_call& call) {
+        const auto last = call.head.headers.find("Last-Event-Id");
+        if (!last) {
+            send_events(call, 1, 2); // And nothing after.
+            return;
+        }
+        send_events(call, std::stoi(std::string(*last)) + 1, 4);
+        call.exchange->finish();
+    };
+    scripted_server& one = fixture.add_server("i-1", "model", script);
+    scripted_server& other = fixture.add_server("i-2", "model", script);
+    const recorded_call got = fixture.call("/resumed/");
+    CHECK(got.whole);
+    CHECK(got.body == events_between(1, 4));
+    scripted_server& silent = one.calls().front()->head.headers.has("Last-Event-Id") ? other : one;
+    CHECK(run_until(fixture.loop, [&] { return silent.calls()[0]->caller_gone; }));
+}
+
+TEST_CASE("usage counts a stream that began once, however often it was resumed") {
+    node_fixture fixture;
+    fixture.start();
+    fixture.add_server("i-1", "model", [](scripted_call& call) {
+        send_events(call, 1, 1);
+        call.exchange->finish();
+    });
+    (void)fixture.call("/stream/");
+    (void)fixture.call("/stream/");
+    const auto reported = [&] {
+        for (const auto& report : fixture.calls.reports) {
+            const auto found = report.counts.find(customer_id("c"));
+            if (found != report.counts.end() && found->second > 0) {
+                return found->second;
+            }
+        }
+        return std::uint64_t{0};
+    };
+    REQUIRE(run_until(fixture.loop, [&] { return reported() > 0; }));
+    CHECK(reported() <= 2);
+}
+
+TEST_CASE("a node that stops ends running streams whole and leaves the directory at once") {
+    node_fixture fixture;
+    fixture.start();
+    scripted_server& server =
+        fixture.add_server("i-1", "model", [](scripted_call& call) { send_events(call, 1, 1); });
+    recorded_call events;
+    const auto running = fixture.send("/stream/", events);
+    REQUIRE(run_until(fixture.loop, [&] { return !events.body.empty(); }));
+    fixture.tested->begin_stop();
+    CHECK_FALSE(fixture.tested->is_ready());
+    run_for(fixture.loop, millis{300});
+    CHECK_FALSE(events.over());
+    CHECK(fixture.store.rows("jujubetide-nodes").empty());
+    server.calls()[0]->exchange->write(event_text(2));
+    server.calls()[0]->exchange->finish();
+    REQUIRE(run_until(fixture.loop, [&] { return events.over(); }));
+    CHECK(events.whole);
+    fixture.loop.run(); // Ends by itself.
+    CHECK(fixture.log.count("node_stopped") == 1);
+}
+
+TEST_CASE("a node that ends with running calls breaks them off") {
+    node_fixture fixture;
+    fixture.start();
+    scripted_server& server =
+        fixture.add_server("i-1", "model", [](scripted_call& call) { send_events(call, 1, 1); });
+    recorded_call events;
+    const auto running = fixture.send("/stream/", events);
+    REQUIRE(run_until(fixture.loop, [&] { return !events.body.empty(); }));
+    fixture.tested.reset();
+    REQUIRE(run_until(fixture.loop, [&] { return events.over(); }));
+    CHECK_FALSE(events.whole);
+    CHECK(run_until(fixture.loop, [&] { return server.calls()[0]->caller_gone; }));
+}
--- /dev/null
+++ b/tests/node/peer_digest_test.cc
@@ -0,0 +1,39 @@
+#include "node/peer_digest.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+TEST_CASE("a digest comes back as it was") {
+    peer_digest digest;
+    digest.node = node_id("n1");
+    digest.start = incarnation(7);
+    digest.is_ready = true;
+    digest.config_version = 12;
+    digest.holds_duties = true;
+    digest.spending = {{customer_id("c"), 1234.5}};
+    digest.usage[usage_window(9)][customer_id("c")] = 4;
+    digest.loads[backend_server_id("i-1")] = {2, 300, 4'000};
+    digest.demand[service_id("s")] = 1.5;
+    const auto read = decode_digest(encode(digest));
+    REQUIRE(read.ok());
+    CHECK(read->node == digest.node);
+    CHECK(read->start == digest.start);
+    CHECK(read->is_ready);
+    CHECK_FALSE(read->is_leaving);
+    CHECK(read->config_version == 12);
+    CHECK(read->holds_duties);
+    CHECK(read->spending[0].total == 1234.5);
+    CHECK(read->usage == digest.usage);
+    CHECK(read->loads == digest.loads);
+    CHECK(read->demand == digest.demand);
+}
+
+TEST_CASE("bytes that are no digest are told") {
+    const std::string whole = encode(peer_digest{});
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        CHECK_FALSE(decode_digest(std::string_view(whole).substr(0, length)).ok());
+    }
+    CHECK_FALSE(decode_digest("\xff\xff\xff\xff").ok());
+    CHECK_FALSE(decode_digest(std::string(64, '\x93')).ok());
+}
--- /dev/null
+++ b/tests/node/peer_exchange_test.cc
@@ -0,0 +1,111 @@
+#include "node/peer_exchange.h"
+#include "node_fixture.h"
+#include "support/manual_clock.h"
+#include "support/manual_timer_service.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+namespace {
+
+struct peers_fixture {
+    peers_fixture() {
+        node_settings settings;
+        settings.node = node_id("n1");
+        settings.callers = {"10.0.0.1", 80};
+        settings.peers = {"127.0.0.1", own_port};
+        state = std::make_unique<serving_state>(settings, loop, timers, time, log, random, headers);
+        state->config = serving_config::make({});
+        peers = *peer_exchange::make(*state, store, incarnation(1));
+        peers->start();
+    }
+    void add_row(const std::string& name, const std::string& callers) {
+        stored_row row;
+        row.key = name;
+        row.value = nlohmann::json{
+            {"start", 1},
+            {"callers", callers},
+            {"peers", "127.0.0.1:9"},
+            {"failure_domain",
+             "z"}}.dump();
+        peers->on_changes({row});
+    }
+    /// Lets the node hear a ready peer.
+    void hear(const std::string& name) {
+        peer_digest digest;
+        digest.node = node_id(name);
+        digest.start = incarnation(1);
+        digest.is_ready = true;
+        const auto socket = *udp_socket::make(loop, {"127.0.0.1", 0}, [](std::string_view) {});
+        socket->send({"127.0.0.1", own_port}, encode(digest));
+        run_for(loop, millis{20});
+    }
+    void advance(millis step) {
+        for (millis done{0}; done < step; done += millis{50}) {
+            time.advance(millis{50});
+            timers.advance(millis{50});
+        }
+    }
+    [[nodiscard]] std::set<std::string> named() const {
+        std::set<std::string> list;
+        for (const endpoint& one : peers->caller_addresses()) {
+            list.insert(one.address);
+        }
+        return list;
+    }
+
+    static constexpr std::uint16_t own_port = 29'017;
+    event_loop loop;
+    manual_timer_service timers;
+    manual_clock time;
+    recorded_log log;
+    seeded_random random{1};
+    platform::call_headers headers;
+    fake_row_store store{timers};
+    std::unique_ptr<serving_state> state;
+    std::unique_ptr<peer_exchange> peers;
+};
+
+} // namespace
+
+TEST_CASE("the directory names a peer only once it was heard") {
+    peers_fixture fixture;
+    fixture.add_row("n2", "10.0.0.2:80");
+    CHECK(fixture.named() == std::set<std::string>{"10.0.0.1"});
+    fixture.hear("n2");
+    CHECK(fixture.named() == std::set<std::string>{"10.0.0.1", "10.0.0.2"});
+}
+
+TEST_CASE("the directory drops a silent peer while others are heard") {
+    peers_fixture fixture;
+    fixture.add_row("n2", "10.0.0.2:80");
+    fixture.add_row("n3", "10.0.0.3:80");
+    fixture.hear("n2");
+    fixture.advance(millis{1'500});
+    fixture.hear("n3");
+    CHECK(fixture.named() == std::set<std::string>{"10.0.0.1", "10.0.0.3"});
+}
+
+TEST_CASE("a node that hears nobody goes on naming the others for a short while only") {
+    peers_fixture fixture;
+    fixture.add_row("n2", "10.0.0.2:80");
+    fixture.hear("n2");
+    fixture.advance(millis{2'000});
+    CHECK(fixture.named().size() == 2);
+    fixture.advance(millis{4'000});
+    CHECK(fixture.named() == std::set<std::string>{"10.0.0.1"});
+}
+
+TEST_CASE("a node whose row another removed writes it again") {
+    peers_fixture fixture;
+    fixture.advance(millis{100});
+    REQUIRE(fixture.store.rows(peer_exchange::table).size() == 1);
+    fixture.store.remove(peer_exchange::table, "n1");
+    stored_row gone;
+    gone.key = "n1";
+    gone.removed = true;
+    fixture.peers->on_changes({gone});
+    fixture.advance(millis{100});
+    CHECK(fixture.store.rows(peer_exchange::table).size() == 1);
+}
--- /dev/null
+++ b/tests/serving/engine_placement_test.cc
@@ -0,0 +1,174 @@
+#include "jujubetide/base/random_source.h"
+#include "jujubetide/serving/engine_placement.h"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <list>
+#include <map>
+#include <set>
+
+using namespace jujubetide;
+
+namespace {
+
+constexpr std::uint64_t shared_tokens = 13'300;
+constexpr std::uint64_t own_tokens = 3'700;
+constexpr double tokens_per_ms = 40.0;
+constexpr std::size_t engines = 8;
+constexpr int topics = 60;
+
+std::vector<backend_server> make_servers(std::size_t count) {
+    std::vector<backend_server> servers(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        servers[i].id = backend_server_id("e" + std::to_string(i));
+        servers[i].slots = 64;
+    }
+    return servers;
+}
+
+std::vector<const backend_server*> pointers_to(const std::vector<backend_server>& servers) {
+    std::vector<const backend_server*> list;
+    for (const backend_server& server : servers) {
+        list.push_back(&server);
+    }
+    return list;
+}
+
+/// Long prompts on few topics that arrive at several nodes, and engines that read one prompt after
+/// the other and keep the topics that they have read. Plays the same load on any placement.
+class played_load {
+public:
+    struct outcome {
+        double on_time = 0.0;
+        std::uint64_t reread_tokens = 0;
+    };
+
+    template <class Placement>
+    outcome play(double calls_per_second) {
+        seeded_random random(7);
+        load_board loads;
+        server_health health;
+        Placement placement(loads, health);
+        const auto servers = make_servers(engines);
+        const auto candidates = pointers_to(servers);
+        serving_service service;
+        service.engine = engine_traits{64, token_count(484'000), 3};
+        std::map<backend_server_id, time_point> free_at;
+        std::map<backend_server_id, std::set<int>> kept;
+        std::list<ending> running;
+        outcome result;
+        constexpr int calls = 1'500;
+        constexpr micros target{1'200'000};
+        time_point now{micros{1'000'000}};
+        for (int i = 0; i < calls; ++i) {
+            now += micros(static_cast<std::int64_t>(1e6 * (-std::log(1.0 - random.uniform())) /
+                                                    calls_per_second));
+            end_until(now, running, loads);
+            const int topic = static_cast<int>(random.below(topics));
+            const std::vector<prompt_part> parts = {{"t" + std::to_string(topic), shared_tokens},
+                                                    {"own" + std::to_string(i), own_tokens}};
+            placement_query query;
+            query.service = &service;
+            query.parts = parts;
+            query.prompt_tokens = shared_tokens + own_tokens;
+            query.output_tokens = 120;
+            query.now = now;
+            const auto choice = placement.choose(query, candidates);
+            if (!choice) {
+                continue;
+            }
+            const backend_server_id& id = choice->server->id;
+            const bool is_kept = !kept[id].insert(topic).second;
+            const std::uint64_t read = own_tokens + (is_kept ? 0 : shared_tokens);
+            result.reread_tokens += is_kept ? 0 : shared_tokens;
+            const time_point begin = std::max(now, free_at[id]);
+            free_at[id] =
+                begin +
+                micros(static_cast<std::int64_t>(1e3 * static_cast<double>(read) / tokens_per_ms));
+            loads.on_sent(id, choice->unread_tokens, choice->held_tokens);
+            running.push_back({id, free_at[id], free_at[id] + millis{1'200}, choice->unread_tokens,
+                               choice->held_tokens, false});
+            result.on_time += free_at[id] - now <= target ? 1.0 / calls : 0.0;
+        }
+        return result;
+    }
+
+private:
+    struct ending {
+        backend_server_id server;
+        time_point begins;
+        time_point ends;
+        std::uint64_t unread;
+        std::uint64_t held;
+        bool begun;
+    };
+    static void end_until(time_point now, std::list<ending>& running, load_board& loads) {
+        for (auto one = running.begin(); one != running.end();) {
+            if (!one->begun && one->begins <= now) {
+                one->begun = true;
+                loads.on_begun(one->server, one->unread);
+            }
+            if (one->ends <= now) {
+                loads.on_ended(one->server, 0, one->held);
+                one = running.erase(one);
+            } else {
+                ++one;
+            }
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("played load: prompts that share most of their tokens are on time where the naive "
+          "placement reads them again") {
+    constexpr double calls_per_second = 30.0;
+    const auto naive = played_load().play<least_running_placement>(calls_per_second);
+    const auto placed = played_load().play<engine_placement>(calls_per_second);
+    CHECK(placed.on_time > 0.95);
+    CHECK(placed.on_time > naive.on_time + 0.05);
+    CHECK(placed.reread_tokens * 3 < naive.reread_tokens);
+}
+
+TEST_CASE("a prompt's shared parts have the same home at all nodes, until it is overloaded") {
+    load_board loads;
+    server_health health;
+    engine_placement one(loads, health);
+    load_board other_loads;
+    engine_placement other(other_loads, health);
+    const auto servers = make_servers(engines);
+    const auto candidates = pointers_to(servers);
+    serving_service service;
+    service.engine = engine_traits{64, token_count(484'000), 3};
+    const std::vector<prompt_part> parts = {{"topic", shared_tokens}, {"own", own_tokens}};
+    placement_query query;
+    query.service = &service;
+    query.parts = parts;
+    query.prompt_tokens = shared_tokens + own_tokens;
+    const auto home = one.choose(query, candidates)->server->id;
+    CHECK(other.choose(query, candidates)->server->id == home);
+    loads.on_sent(home, 200'000, 200'000);
+    CHECK(one.choose(query, candidates)->server->id != home);
+}
+
+TEST_CASE("servers that were tried or are paused are left out while there are others") {
+    load_board loads;
+    server_health health;
+    engine_placement placement(loads, health);
+    const auto servers = make_servers(2);
+    const auto candidates = pointers_to(servers);
+    serving_service service;
+    placement_query query;
+    query.service = &service;
+    query.now = time_point{micros{1'000'000}};
+    const std::vector<backend_server_id> tried = {servers[0].id};
+    query.tried = tried;
+    CHECK(placement.choose(query, candidates)->server->id == servers[1].id);
+    query.tried = {};
+    health.on_unreachable(servers[1].id, query.now);
+    CHECK(placement.choose(query, candidates)->server->id == servers[0].id);
+    const std::vector<backend_server_id> both = {servers[0].id, servers[1].id};
+    query.tried = both;
+    CHECK_FALSE(placement.choose(query, candidates).has_value());
+}
--- /dev/null
+++ b/tests/serving/retry_policy_test.cc
@@ -0,0 +1,73 @@
+#include "jujubetide/serving/retry_policy.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+namespace {
+
+serving_route route_of(call_kind kind, bool resumable, int attempts) {
+    serving_route route;
+    route.kind = kind;
+    route.is_resumable = resumable;
+    route.max_attempts = attempts;
+    return route;
+}
+
+/// What a call has used up after `outcome` was its `tries`-th end.
+call_progress after(attempt_outcome outcome, int tries) {
+    call_progress progress;
+    const bool was_void =
+        outcome == attempt_outcome::not_sent || outcome == attempt_outcome::wrong_server;
+    progress.void_sends = was_void ? tries : 0;
+    progress.servers_tried = was_void ? 0 : tries;
+    progress.may_have_run = !was_void && outcome != attempt_outcome::not_run;
+    progress.has_begun = outcome == attempt_outcome::broken_midway;
+    return progress;
+}
+
+constexpr auto all_outcomes = {attempt_outcome::not_sent,     attempt_outcome::not_run,
+                               attempt_outcome::wrong_server, attempt_outcome::error_answer,
+                               attempt_outcome::broken,       attempt_outcome::broken_midway};
+
+} // namespace
+
+TEST_CASE("a call that may run once is never sent again once it may have run") {
+    const auto kind = GENERATE(call_kind::non_idempotent, call_kind::streaming);
+    const serving_route route = route_of(kind, false, 5);
+    for (const attempt_outcome outcome : all_outcomes) {
+        const call_progress progress = after(outcome, 1);
+        if (progress.may_have_run) {
+            CHECK(retry_policy::decide(route, progress, outcome) != next_step::resend);
+        } else {
+            CHECK(retry_policy::decide(route, progress, outcome) == next_step::resend);
+        }
+    }
+}
+
+TEST_CASE("no call goes to more servers than its route allows") {
+    const serving_route route = route_of(call_kind::idempotent, false, 2);
+    for (const attempt_outcome outcome : all_outcomes) {
+        CHECK(retry_policy::decide(route, after(outcome, 1), outcome) == next_step::resend);
+        if (after(outcome, 2).servers_tried == 2) {
+            CHECK(retry_policy::decide(route, after(outcome, 2), outcome) != next_step::resend);
+        }
+    }
+}
+
+TEST_CASE("sends without effect end as well") {
+    const serving_route route = route_of(call_kind::idempotent, false, 2);
+    const auto outcome = GENERATE(attempt_outcome::not_sent, attempt_outcome::wrong_server);
+    CHECK(retry_policy::decide(route, after(outcome, retry_policy::max_void_sends), outcome) ==
+          next_step::refuse);
+}
+
+TEST_CASE("only a call that has not run is refused as not run") {
+    for (const attempt_outcome outcome : all_outcomes) {
+        const call_progress progress = after(outcome, 1);
+        const next_step step = retry_policy::without_resend(progress, outcome);
+        CHECK((step == next_step::refuse) == !progress.may_have_run);
+        CHECK((step == next_step::break_off) == progress.has_begun);
+        CHECK((step == next_step::pass_error) == (outcome == attempt_outcome::error_answer));
+    }
+}
--- /dev/null
+++ b/tests/store/table_follower_test.cc
@@ -0,0 +1,117 @@
+#include "support/fake_row_store.h"
+#include "support/manual_clock.h"
+#include "support/manual_timer_service.h"
+
+#include "jujubetide/store/table_follower.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace jujubetide;
+
+namespace {
+
+class recorded_table final : public table_observer {
+public:
+    std::map<std::string, std::string> rows;
+    int tables = 0;
+    int aways = 0;
+    int backs = 0;
+
+protected:
+    void do_table(const std::vector<stored_row>& all) override {
+        ++tables;
+        rows.clear();
+        do_changes(all);
+    }
+    void do_changes(const std::vector<stored_row>& changed) override {
+        for (const stored_row& row : changed) {
+            if (row.removed) {
+                rows.erase(row.key);
+            } else {
+                rows[row.key] = row.value;
+            }
+        }
+    }
+    void do_away(const absl::Status&) override { ++aways; }
+    void do_back() override { ++backs; }
+};
+
+struct follower_fixture {
+    void advance(millis step) {
+        for (millis done{0}; done < step; done += millis{1}) {
+            time.advance(millis{1});
+            timers.advance(millis{1});
+        }
+    }
+
+    manual_clock time;
+    manual_timer_service timers;
+    seeded_random random{1};
+    fake_row_store store{timers};
+    recorded_table seen;
+    table_follower follower{store, timers, time, random, "t", seen};
+};
+
+} // namespace
+
+TEST_CASE("a follower knows the table and its changes") {
+    follower_fixture fixture;
+    fixture.store.put("t", "a", "1");
+    fixture.store.put("other", "x", "9");
+    fixture.follower.start();
+    fixture.advance(millis{10});
+    CHECK(fixture.seen.rows == std::map<std::string, std::string>{{"a", "1"}});
+    fixture.store.put("t", "b", "2");
+    fixture.store.remove("t", "a");
+    fixture.advance(millis{500});
+    CHECK(fixture.seen.rows == std::map<std::string, std::string>{{"b", "2"}});
+    CHECK(fixture.seen.tables == 1);
+}
+
+TEST_CASE("changes in quick succession cost few calls") {
+    follower_fixture fixture;
+    fixture.follower.start();
+    fixture.advance(millis{10});
+    for (int i = 0; i < 100; ++i) {
+        fixture.store.put("t", "a", std::to_string(i));
+        fixture.advance(millis{10});
+    }
+    fixture.advance(millis{300});
+    CHECK(fixture.seen.rows["a"] == "99");
+    CHECK(fixture.store.change_calls <= 8);
+}
+
+TEST_CASE("a follower reads the table again when the history is gone") {
+    follower_fixture fixture;
+    fixture.store.put("t", "a", "1");
+    fixture.follower.start();
+    fixture.advance(millis{10});
+    fixture.store.set_failure(absl::UnavailableError("down"));
+    fixture.advance(millis{1'000});
+    fixture.store.remove("t", "a");
+    fixture.store.put("t", "b", "2");
+    fixture.store.forget_history();
+    fixture.store.set_failure(absl::OkStatus());
+    fixture.advance(millis{2'000});
+    CHECK(fixture.seen.rows == std::map<std::string, std::string>{{"b", "2"}});
+    CHECK(fixture.seen.aways == 1);
+    CHECK(fixture.seen.backs == 1);
+}
+
+TEST_CASE("what is known holds while the store is away, and calls to it are few") {
+    follower_fixture fixture;
+    fixture.store.put("t", "a", "1");
+    fixture.follower.start();
+    fixture.advance(millis{10});
+    fixture.store.set_failure(absl::DeadlineExceededError("silent"));
+    const int before = fixture.store.change_calls;
+    fixture.advance(millis{10'000});
+    CHECK(fixture.seen.rows.contains("a"));
+    CHECK(fixture.store.change_calls - before <= 20);
+    fixture.store.set_failure(absl::OkStatus());
+    fixture.store.put("t", "a", "2");
+    fixture.advance(millis{1'500});
+    CHECK(fixture.seen.rows["a"] == "2");
+}
