Tell peers usage, tables and the lease; scale at once after a takeover

Change: peers fetch usage counts and, while the store turns a node away, the shared tables from each other over HTTP on the internal port; digests carry the lease's row; a stopping node's counts are taken until its end; kept connections of a stopping node are closed only after a second of silence.

--- a/include/jujubetide/http1/http1_server.h
+++ b/include/jujubetide/http1/http1_server.h
@@ -115,8 +115,8 @@
     void stop_accepting() { acceptor_.reset(); }
     /// Responses tell callers to close the connection from now on.
     void begin_closing() { closing_ = true; }
-    /// Closes the connections on which no request waits.
-    void close_idle();
+    /// Closes the connections on which there was no request for this long.
+    void close_idle(micros silence);
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
 private:
--- a/include/jujubetide/serving/scaling_planner.h
+++ b/include/jujubetide/serving/scaling_planner.h
@@ -47,7 +47,7 @@
     [[nodiscard]] unsigned available(const scaling_limits& limits, time_point now) const;
     /// Follows a rise of the reliable servers wanted at once, and a fall after a while.
     [[nodiscard]] unsigned hold(unsigned wanted, time_point now);
-    void note_orders(const server_numbers& numbers, time_point now);
+    void note_orders(const server_numbers& numbers, const server_numbers& present, time_point now);
 
     double peak_ = 0.0;
     time_point peak_at_{};
--- a/include/jujubetide/serving/usage_ledger.h
+++ b/include/jujubetide/serving/usage_ledger.h
@@ -13,6 +13,14 @@
 using usage_window = strong_number<struct usage_window_tag, std::int64_t>;
 using usage_counts = std::map<customer_id, std::uint64_t>;
 
+/// What one start of a node counted in a window.
+struct usage_record {
+    node_id node;
+    incarnation start;
+    usage_window window;
+    usage_counts counts;
+};
+
 /// Counts the calls of each customer that backend servers began, by window, over all nodes. Not
 /// thread-safe.
 class usage_ledger {
@@ -31,6 +39,8 @@
     /// Takes the counts of one start of another node; they replace what it said before.
     void on_peer_counts(const node_id& node, incarnation start, usage_window window,
                         const usage_counts& counts);
+    /// All records, this node's under the name and start given.
+    [[nodiscard]] std::vector<usage_record> all(const node_id& self, incarnation start) const;
     /// All that is known of a window.
     [[nodiscard]] usage_counts total(usage_window window) const;
 
--- a/include/jujubetide/store/table_follower.h
+++ b/include/jujubetide/store/table_follower.h
@@ -56,6 +56,9 @@
 
     void start();
 
+    /// Takes the whole table as another follower of the same store knows it, if that is newer.
+    bool adopt(const row_batch& batch);
+
     /// The version up to which the observer knows the table.
     [[nodiscard]] row_version at() const { return at_; }
     [[nodiscard]] bool is_loaded() const { return loaded_; }
--- a/src/http1/http1_server.cc
+++ b/src/http1/http1_server.cc
@@ -66,11 +66,12 @@
     }
 }
 
-void http1_server::close_idle() {
+void http1_server::close_idle(micros silence) {
+    const time_point now = clock_.now();
     const std::vector<std::shared_ptr<server_connection>> all(connections_.begin(),
                                                               connections_.end());
     for (const auto& connection : all) {
-        connection->close_if_idle();
+        connection->close_if_idle(now, silence);
     }
 }
 
--- a/src/http1/server_connection.cc
+++ b/src/http1/server_connection.cc
@@ -234,8 +234,8 @@
     }
 }
 
-void server_connection::close_if_idle() {
-    if (state_ == state::reading && !parser_.has_begun()) {
+void server_connection::close_if_idle(time_point now, micros silence) {
+    if (state_ == state::reading && !parser_.has_begun() && now - last_active_ >= silence) {
         drop();
     }
 }
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -18,7 +18,7 @@
     void start() { connection_->set_events(*this); }
     /// Applies the time limits.
     void check_times(time_point now);
-    void close_if_idle();
+    void close_if_idle(time_point now, micros silence);
     /// Ends the connection without any response.
     void drop();
 
--- a/src/node/duty_lease.cc
+++ b/src/node/duty_lease.cc
@@ -37,7 +37,8 @@
 }
 
 bool duty_lease::is_candidate() const {
-    return !state_.stopping && !peers_.peer_holds_duties() && peers_.is_among_first();
+    return !state_.stopping && peers_.knows_usage() && !peers_.peer_holds_duties() &&
+           peers_.is_among_first();
 }
 
 void duty_lease::step() {
@@ -74,6 +75,7 @@
             }
         }
         lease_.observe(row, state_.time.now());
+        held_row_ = row;
         note_change();
     });
 }
@@ -88,6 +90,7 @@
         busy_ = false;
         if (done.ok()) {
             lease_.write_applied(what, *done, state_.time.now());
+            held_row_ = lease_row{what.record, *done};
         } else if (absl::IsAborted(done.status())) {
             lease_.write_refused();
         } else if (absl::IsDeadlineExceeded(done.status())) {
@@ -114,7 +117,7 @@
 
 void duty_lease::note_change() {
     const bool now_held = held();
-    peers_.set_holds_duties(now_held);
+    peers_.set_lease(now_held ? held_row_ : std::nullopt);
     if (now_held == was_held_) {
         return;
     }
--- a/src/node/duty_lease.h
+++ b/src/node/duty_lease.h
@@ -36,6 +36,8 @@
     row_store& store_;
     peer_exchange& peers_;
     lease_state lease_;
+    /// The row as last written or read.
+    std::optional<lease_row> held_row_;
     bool busy_ = false;
     bool was_held_ = false;
     bool released_ = false;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -4,7 +4,9 @@
 #include "node/duty_lease.h"
 #include "node/node_events.h"
 #include "node/peer_exchange.h"
+#include "node/peer_service.h"
 #include "node/proxied_call.h"
+#include "node/row_mirror.h"
 #include "node/server_scaler.h"
 #include "node/serving_state.h"
 #include "node/table_watches.h"
@@ -21,8 +23,9 @@
 constexpr micros stop_check_period{100'000};
 /// Callers that still hold this node's address may connect for this long after a stop began.
 constexpr micros accept_after_stop{2'500'000};
-/// Kept connections without a request are closed from this time after a stop began.
-constexpr micros keep_idle_after_stop{700'000};
+/// A stopping node closes connections without a request for this long; a new one's first request
+/// may be on its way.
+constexpr micros idle_while_stopping{1'000'000};
 /// Time for the last answers to leave the host.
 constexpr micros send_time{300'000};
 /// Part of the grace time after which a stopping node ends whatever still runs.
@@ -68,9 +71,9 @@
           configs(state, from.decoder, from.tables, [this] { on_config(); }),
           registrations(state, from.decoder, from.tables),
           config_follower(from.store, from.loop, from.time, from.random, from.tables.config_table,
-                          configs),
+                          config_mirror),
           registration_follower(from.store, from.loop, from.time, from.random,
-                                from.tables.registration_table, registrations,
+                                from.tables.registration_table, registration_mirror,
                                 registration_options()) {}
 
     void on_config() {
@@ -83,10 +86,13 @@
     std::unique_ptr<http1_server> callers;
     config_watch configs;
     registration_watch registrations;
+    row_mirror config_mirror{configs};
+    row_mirror registration_mirror{registrations};
     table_follower config_follower;
     table_follower registration_follower;
     std::unique_ptr<peer_exchange> peers;
     std::unique_ptr<table_follower> peer_follower;
+    std::unique_ptr<peer_service> peer_answers;
     std::unique_ptr<duty_lease> lease;
     std::unique_ptr<usage_reporter> usage;
     std::unique_ptr<server_scaler> scaler;
@@ -114,6 +120,18 @@
     parts->peers = *std::move(peers);
     parts->peer_follower = std::make_unique<table_follower>(
         from.store, from.loop, from.time, from.random, peer_exchange::table, *parts->peers);
+    auto peer_answers = peer_service::make(
+        parts->state, *parts->peers,
+        {{from.tables.config_table, parts->config_follower, parts->config_mirror},
+         {from.tables.registration_table, parts->registration_follower,
+          parts->registration_mirror}});
+    if (!peer_answers.ok()) {
+        return peer_answers.status();
+    }
+    parts->peer_answers = *std::move(peer_answers);
+    parts->peers->set_table_versions([all = parts.get()] {
+        return std::vector<row_version>{all->config_follower.at(), all->registration_follower.at()};
+    });
     parts->lease = std::make_unique<duty_lease>(parts->state, from.store, *parts->peers);
     parts->usage = std::make_unique<usage_reporter>(parts->state, from.store, *parts->peers,
                                                     *parts->lease, from.calls);
@@ -141,6 +159,7 @@
     parts_->registration_follower.start();
     parts_->peers->start();
     parts_->peer_follower->start();
+    parts_->peer_answers->start();
     const bool has_duties = state.settings.reports_usage || state.settings.orders_servers;
     if (has_duties) {
         parts_->lease->start();
@@ -176,9 +195,7 @@
 
 void node::parts_of_node::check_stop() {
     const micros since = state.time.now() - stop_began;
-    if (since >= keep_idle_after_stop) {
-        callers->close_idle();
-    }
+    callers->close_idle(idle_while_stopping);
     if (since >= accept_after_stop) {
         callers->stop_accepting();
     }
@@ -190,6 +207,7 @@
     if (!all_answered && since < grace * usable_grace) {
         return;
     }
+    peers->tell(); // The counts of the last calls.
     state.log.write(node_stopped, {{"running_calls", std::to_string(state.calls.size())}});
     state.loop.stop();
 }
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -17,6 +17,7 @@
 inline constexpr log_event config_rejected{7021, log_severity::warning, "config_rejected"};
 inline constexpr log_event table_away{7022, log_severity::warning, "table_away"};
 inline constexpr log_event table_back{7023, log_severity::info, "table_back"};
+inline constexpr log_event table_from_peer{7024, log_severity::info, "table_from_peer"};
 inline constexpr log_event server_seen{7030, log_severity::info, "server_seen"};
 inline constexpr log_event server_leaving{7031, log_severity::info, "server_leaving"};
 inline constexpr log_event server_vanished{7032, log_severity::info, "server_vanished"};
--- a/src/node/peer_digest.cc
+++ b/src/node/peer_digest.cc
@@ -15,6 +15,10 @@
 } // namespace
 
 std::string encode(const peer_digest& digest) {
+    json versions = json::array();
+    for (const row_version version : digest.table_versions) {
+        versions.push_back(version.value());
+    }
     json spending = json::array();
     for (const customer_spending& one : digest.spending) {
         spending.push_back({one.customer.str(), one.total});
@@ -35,10 +39,13 @@
     for (const auto& [service, servers] : digest.demand) {
         demand.push_back({service.str(), static_cast<float>(servers)});
     }
-    const json body = {digest_format,       digest.node.str(),   digest.start.value(),
-                       digest.is_ready,     digest.is_leaving,   digest.config_version,
-                       digest.holds_duties, std::move(spending), std::move(usage),
-                       std::move(loads),    std::move(demand)};
+    const json body = {digest_format,        digest.node.str(),
+                       digest.start.value(), digest.is_ready,
+                       digest.is_leaving,    std::move(versions),
+                       digest.knows_usage,   digest.holds_duties,
+                       digest.lease_record,  digest.lease_version.value(),
+                       std::move(spending),  std::move(usage),
+                       std::move(loads),     std::move(demand)};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -55,8 +62,13 @@
         digest.start = incarnation(body.at(at++).get<std::uint64_t>());
         digest.is_ready = body.at(at++).get<bool>();
         digest.is_leaving = body.at(at++).get<bool>();
-        digest.config_version = body.at(at++).get<std::uint64_t>();
+        for (const json& one : body.at(at++)) {
+            digest.table_versions.emplace_back(one.get<std::uint64_t>());
+        }
+        digest.knows_usage = body.at(at++).get<bool>();
         digest.holds_duties = body.at(at++).get<bool>();
+        digest.lease_record = body.at(at++).get<std::string>();
+        digest.lease_version = row_version(body.at(at++).get<std::uint64_t>());
         for (const json& one : body.at(at++)) {
             digest.spending.push_back(
                 {customer_id(one.at(0).get<std::string>()), one.at(1).get<double>()});
--- a/src/node/peer_digest.h
+++ b/src/node/peer_digest.h
@@ -21,10 +21,15 @@
     incarnation start;
     bool is_ready = false;
     bool is_leaving = false;
-    /// Versions of the shared tables that the node knows.
-    std::uint64_t config_version = 0;
+    /// Versions of the shared tables that the node knows, in the tables' order.
+    std::vector<row_version> table_versions;
+    /// The node knows the usage counts from before its start.
+    bool knows_usage = false;
     /// The node holds the duty lease.
     bool holds_duties = false;
+    /// The lease's row, of a node that holds it.
+    std::string lease_record;
+    row_version lease_version;
     std::vector<customer_spending> spending;
     std::map<usage_window, usage_counts> usage;
     server_loads loads;
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -115,8 +115,15 @@
     digest.start = start_;
     digest.is_ready = is_ready();
     digest.is_leaving = state_.stopping;
-    digest.config_version = state_.config ? state_.config->version() : 0;
-    digest.holds_duties = holds_duties_;
+    if (table_versions_) {
+        digest.table_versions = table_versions_();
+    }
+    digest.knows_usage = knows_usage_;
+    digest.holds_duties = lease_.has_value();
+    if (lease_) {
+        digest.lease_record = jujubetide::to_text(lease_->record);
+        digest.lease_version = lease_->version;
+    }
     digest.spending = state_.caps.spending();
     digest.usage = state_.usage.own();
     digest.loads = state_.loads.own();
@@ -147,7 +154,14 @@
     from.is_ready = digest->is_ready;
     from.is_leaving = digest->is_leaving;
     from.holds_duties = digest->holds_duties;
+    from.knows_usage = digest->knows_usage;
+    from.table_versions = digest->table_versions;
     from.demand = digest->demand;
+    if (digest->holds_duties && lease_told_) {
+        if (const auto record = parse_lease_record(digest->lease_record); record.ok()) {
+            lease_told_({*record, digest->lease_version});
+        }
+    }
     state_.caps.on_peer_spending(digest->node, digest->start, digest->spending, now);
     for (const auto& [window, counts] : digest->usage) {
         state_.usage.on_peer_counts(digest->node, digest->start, window, counts);
@@ -160,6 +174,8 @@
 }
 
 void peer_exchange::look() {
+    std::erase_if(
+        peers_, [this](const auto& item) { return item.second.row_gone && !item.second.was_live; });
     std::size_t heard = 1;
     for (auto& [node, one] : peers_) {
         if (lives(one)) {
@@ -175,11 +191,10 @@
 }
 
 void peer_exchange::do_table(const std::vector<stored_row>& rows) {
-    std::map<node_id, peer> before = std::exchange(peers_, {});
+    for (auto& [node, one] : peers_) {
+        one.row_gone = true;
+    }
     for (const stored_row& row : rows) {
-        if (const auto known = before.find(node_id(row.key)); known != before.end()) {
-            peers_[known->first] = std::move(known->second);
-        }
         put_row(row);
     }
     const bool own_is_there = std::any_of(rows.begin(), rows.end(), [this](const auto& row) {
@@ -196,9 +211,9 @@
             put_row(row);
         } else if (row.key == state_.settings.node.str()) {
             write_own_row(); // Another node took this one for dead.
-        } else {
-            peers_.erase(node_id(row.key));
-            state_.loads.forget_peer(node_id(row.key));
+        } else if (const auto found = peers_.find(node_id(row.key)); found != peers_.end()) {
+            // A node that stops removes its row first and tells of its last calls until its end.
+            found->second.row_gone = true;
         }
     }
 }
@@ -219,13 +234,14 @@
         one.known_since = state_.time.now();
     }
     one.record = *record;
+    one.row_gone = false;
 }
 
 std::vector<endpoint> peer_exchange::caller_addresses() const {
     std::vector<endpoint> live;
     std::vector<endpoint> lately_live;
     for (const auto& [node, one] : peers_) {
-        if (one.is_leaving || !one.is_ready) {
+        if (one.is_leaving || one.row_gone || !one.is_ready) {
             continue;
         }
         if (lives(one)) {
@@ -255,6 +271,26 @@
     return before < candidates;
 }
 
+std::optional<endpoint> peer_exchange::oldest_peer() const {
+    const peer* oldest = nullptr;
+    for (const auto& [node, one] : peers_) {
+        if (lives(one) && one.knows_usage &&
+            (oldest == nullptr || one.record.start < oldest->record.start)) {
+            oldest = &one;
+        }
+    }
+    return oldest == nullptr ? std::nullopt : std::optional(oldest->record.peers);
+}
+
+std::optional<endpoint> peer_exchange::peer_with_newer(std::size_t index, row_version than) const {
+    for (const auto& [node, one] : peers_) {
+        if (lives(one) && index < one.table_versions.size() && one.table_versions[index] > than) {
+            return one.record.peers;
+        }
+    }
+    return std::nullopt;
+}
+
 bool peer_exchange::peer_holds_duties() const {
     return std::any_of(peers_.begin(), peers_.end(), [this](const auto& item) {
         return item.second.holds_duties && lives(item.second);
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -3,10 +3,12 @@
 #include "node/peer_digest.h"
 #include "node/serving_state.h"
 
+#include "jujubetide/lease/lease_state.h"
 #include "jujubetide/net/udp_socket.h"
 #include "jujubetide/store/row_store.h"
 #include "jujubetide/store/table_follower.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -44,11 +46,27 @@
     void tell();
     /// Removes the rows of nodes that were not heard for long; for the holder of the duties.
     void remove_dead_rows();
-    void set_holds_duties(bool holds) { holds_duties_ = holds; }
+    /// What the digests say of the duty lease; nothing when this node does not hold it.
+    void set_lease(std::optional<lease_row> held) { lease_ = std::move(held); }
+    /// Is called with the lease's row as its holder tells it.
+    void on_lease_told(std::function<void(const lease_row&)> handler) {
+        lease_told_ = std::move(handler);
+    }
+    void set_knows_usage(bool knows) { knows_usage_ = knows; }
+    [[nodiscard]] bool knows_usage() const { return knows_usage_; }
+    /// What tells the versions of the shared tables for digests.
+    void set_table_versions(std::function<std::vector<row_version>()> versions) {
+        table_versions_ = std::move(versions);
+    }
 
     [[nodiscard]] incarnation start_number() const { return start_; }
     /// Where callers may connect now, this node included while it is not leaving.
     [[nodiscard]] std::vector<endpoint> caller_addresses() const;
+    /// Where to ask the peer that has run longest and knows the usage counts.
+    [[nodiscard]] std::optional<endpoint> oldest_peer() const;
+    /// A peer that knows a newer version of the shared table `index`.
+    [[nodiscard]] std::optional<endpoint> peer_with_newer(std::size_t index,
+                                                          row_version than) const;
     /// Whether a peer that lives holds the duty lease.
     [[nodiscard]] bool peer_holds_duties() const;
     /// Whether all nodes that live have told a digest since `since`.
@@ -72,9 +90,13 @@
         std::optional<time_point> heard;
         /// As of the last look.
         bool was_live = false;
+        /// Its row was removed; forgotten once it is silent.
+        bool row_gone = false;
         bool is_ready = false;
         bool is_leaving = false;
         bool holds_duties = false;
+        bool knows_usage = false;
+        std::vector<row_version> table_versions;
         std::map<service_id, double> demand;
     };
 
@@ -91,7 +113,10 @@
     incarnation start_;
     std::unique_ptr<udp_socket> socket_;
     std::map<node_id, peer> peers_;
-    bool holds_duties_ = false;
+    std::optional<lease_row> lease_;
+    std::function<void(const lease_row&)> lease_told_;
+    bool knows_usage_ = false;
+    std::function<std::vector<row_version>()> table_versions_;
     bool row_wanted_ = false;
     bool row_pending_ = false;
     std::unique_ptr<timer_subscription> digest_timer_;
--- /dev/null
+++ b/src/node/peer_messages.cc
@@ -0,0 +1,85 @@
+#include "node/peer_messages.h"
+
+#include <absl/status/status.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace jujubetide {
+namespace {
+
+using json = nlohmann::json;
+
+std::string to_bytes(const json& body) {
+    const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
+    return {bytes.begin(), bytes.end()};
+}
+
+json::binary_t to_binary(const std::string& text) {
+    return json::binary_t(std::vector<std::uint8_t>(text.begin(), text.end()));
+}
+
+std::string to_string(const json& binary) {
+    const json::binary_t& bytes = binary.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+} // namespace
+
+std::string encode(const std::vector<usage_record>& records) {
+    json body = json::array();
+    for (const usage_record& record : records) {
+        json counts = json::array();
+        for (const auto& [customer, count] : record.counts) {
+            counts.push_back({customer.str(), count});
+        }
+        body.push_back(
+            {record.node.str(), record.start.value(), record.window.value(), std::move(counts)});
+    }
+    return to_bytes(body);
+}
+
+absl::StatusOr<std::vector<usage_record>> decode_usage(const std::string& bytes) {
+    try {
+        const json body = json::from_msgpack(bytes);
+        std::vector<usage_record> records;
+        for (const json& one : body) {
+            usage_record record{node_id(one.at(0).get<std::string>()),
+                                incarnation(one.at(1).get<std::uint64_t>()),
+                                usage_window(one.at(2).get<std::int64_t>()),
+                                {}};
+            for (const json& count : one.at(3)) {
+                record.counts[customer_id(count.at(0).get<std::string>())] =
+                    count.at(1).get<std::uint64_t>();
+            }
+            records.push_back(std::move(record));
+        }
+        return records;
+    } catch (const json::exception& error) {
+        return absl::InvalidArgumentError(absl::StrCat("no usage records: ", error.what()));
+    }
+}
+
+std::string encode(const row_batch& batch) {
+    json rows = json::array();
+    for (const stored_row& row : batch.rows) {
+        rows.push_back({row.key, to_binary(row.value), row.version.value()});
+    }
+    return to_bytes({batch.at.value(), std::move(rows)});
+}
+
+absl::StatusOr<row_batch> decode_rows(const std::string& bytes) {
+    try {
+        const json body = json::from_msgpack(bytes);
+        row_batch batch;
+        batch.at = row_version(body.at(0).get<std::uint64_t>());
+        for (const json& one : body.at(1)) {
+            batch.rows.push_back({one.at(0).get<std::string>(), to_string(one.at(1)),
+                                  row_version(one.at(2).get<std::uint64_t>()), false});
+        }
+        return batch;
+    } catch (const json::exception& error) {
+        return absl::InvalidArgumentError(absl::StrCat("no rows: ", error.what()));
+    }
+}
+
+} // namespace jujubetide
--- a/src/node/server_scaler.cc
+++ b/src/node/server_scaler.cc
@@ -3,13 +3,14 @@
 #include "node/node_events.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 
 namespace jujubetide {
 namespace {
 
 constexpr micros step_period{1'000'000};
 /// The demand of all nodes is known this long after the duties were taken.
-constexpr micros settle_time{4'000'000};
+constexpr micros settle_time{1'000'000};
 /// Wait before an order that was not taken is sent again.
 constexpr micros retry_time{3'000'000};
 
@@ -57,6 +58,7 @@
     for (const auto& [group, count] : wanted) {
         order_state& order = orders_[{service.id, group}];
         order.wanted = count;
+        order.busy = busy;
         if (!order.pending && order.taken != count && state_.time.now() >= order.retry_at) {
             send(service.id, group, order);
         }
@@ -70,14 +72,16 @@
     }
     order.pending = true;
     const unsigned count = order.wanted;
+    const double busy = order.busy;
     calls_.order_servers({state_.settings.node, *fencing},
                          {service, group.failure_domain, group.reclaimable, count},
-                         [this, service, group, count](const absl::Status& done) {
+                         [this, service, group, count, busy](const absl::Status& done) {
                              state_.log.write(done.ok() ? servers_ordered : servers_not_ordered,
                                               {{"service", service.str()},
                                                {"failure_domain", group.failure_domain.str()},
                                                {"reclaimable", group.reclaimable ? "yes" : "no"},
                                                {"count", absl::StrCat(count)},
+                                               {"busy_servers", absl::StrFormat("%.2f", busy)},
                                                {"result", std::string(done.message())}});
                              const auto found = orders_.find({service, group});
                              if (found == orders_.end()) {
--- a/src/node/server_scaler.h
+++ b/src/node/server_scaler.h
@@ -22,6 +22,8 @@
 private:
     struct order_state {
         unsigned wanted = 0;
+        /// The demand that the order answers, in servers.
+        double busy = 0.0;
         std::optional<unsigned> taken;
         bool pending = false;
         time_point retry_at{};
--- a/src/serving/scaling_planner.cc
+++ b/src/serving/scaling_planner.cc
@@ -54,6 +54,26 @@
     return sum;
 }
 
+/// Every group of the limits, with no server.
+server_numbers none(const scaling_limits& limits, const std::vector<failure_domain_id>& domains) {
+    server_numbers numbers;
+    for (const failure_domain_id& domain : domains) {
+        numbers[{domain, false}] = 0;
+        if (limits.reclaimable_price) {
+            numbers[{domain, true}] = 0;
+        }
+    }
+    return numbers;
+}
+
+unsigned reliable_in(const server_numbers& numbers) {
+    unsigned sum = 0;
+    for (const auto& [group, count] : numbers) {
+        sum += group.reclaimable ? 0 : count;
+    }
+    return sum;
+}
+
 /// Adds servers of a kind one by one, over the domains in turn, while their limits allow it.
 void spread(server_numbers& numbers, const scaling_limits& limits,
             const std::vector<failure_domain_id>& domains, bool reclaimable, unsigned count) {
@@ -118,9 +138,15 @@
     return held_;
 }
 
-void scaling_planner::note_orders(const server_numbers& numbers, time_point now) {
+void scaling_planner::note_orders(const server_numbers& numbers, const server_numbers& present,
+                                  time_point now) {
     for (const auto& [group, count] : numbers) {
-        group_state& state = groups_[group];
+        const auto [known, is_new] = groups_.try_emplace(group);
+        group_state& state = known->second;
+        if (is_new) {
+            const auto here = present.find(group);
+            state.present = here == present.end() ? 0 : here->second;
+        }
         if (count > state.ordered) {
             state.increased = now;
         }
@@ -132,30 +158,25 @@
                                      const server_numbers& present, time_point now) {
     observe(present, now);
     if (!demand_since_ && busy >= least_demand) {
-        demand_since_ = now;
+        // A holder of the duties that begins amid demand has nothing to wait for.
+        demand_since_ = has_peak_ ? now : now - learning_time;
     }
     const double needed = peak(busy, now) / target_use + spare_servers;
     const std::vector<failure_domain_id> domains = by_price(limits);
-    server_numbers numbers;
-    unsigned reliable_here = 0;
-    for (const failure_domain_id& domain : domains) {
-        numbers[{domain, false}] = 0;
-        const auto found = present.find({domain, false});
-        reliable_here += found == present.end() ? 0 : found->second;
-        if (limits.reclaimable_price) {
-            numbers[{domain, true}] = 0;
-        }
-    }
+    server_numbers numbers = none(limits, domains);
     double reliable = needed;
     if (limits.reclaimable_price) {
+        server_numbers reclaimable = numbers;
+        spread(reclaimable, limits, domains, true, up(needed * reclaimable_part));
+        note_orders(reclaimable, present, now);
         reliable =
             std::max(needed * reliable_part, needed - static_cast<double>(available(limits, now)));
     }
-    unsigned count = up(reliable);
+    unsigned count = hold(up(reliable), now);
     if (!demand_since_ || now - *demand_since_ < learning_time) {
-        count = std::max(count, reliable_here);
+        count = std::max(count, reliable_in(present));
     }
-    spread(numbers, limits, domains, false, hold(count, now));
+    spread(numbers, limits, domains, false, count);
     if (limits.reclaimable_price) {
         spread(numbers, limits, domains, true, up(needed * reclaimable_part));
     }
@@ -165,7 +186,7 @@
             numbers[{domain, limits.reclaimable_price.has_value()}] += limits.min - here;
         }
     }
-    note_orders(numbers, now);
+    note_orders(numbers, present, now);
     return numbers;
 }
 
--- a/src/serving/usage_ledger.cc
+++ b/src/serving/usage_ledger.cc
@@ -22,6 +22,19 @@
     trim(peers_.rbegin()->first);
 }
 
+std::vector<usage_record> usage_ledger::all(const node_id& self, incarnation start) const {
+    std::vector<usage_record> records;
+    for (const auto& [window, counts] : own_) {
+        records.push_back({self, start, window, counts});
+    }
+    for (const auto& [window, told] : peers_) {
+        for (const auto& [node, counts] : told) {
+            records.push_back({node.first, node.second, window, counts});
+        }
+    }
+    return records;
+}
+
 usage_counts usage_ledger::total(usage_window window) const {
     usage_counts sum;
     if (const auto own = own_.find(window); own != own_.end()) {
--- a/src/store/table_follower.cc
+++ b/src/store/table_follower.cc
@@ -66,7 +66,11 @@
         return;
     }
     answered();
-    at_ = std::max(at_, batch->at);
+    if (batch->at < at_) {
+        ask(); // Asked for before a newer version was adopted.
+        return;
+    }
+    at_ = batch->at;
     if (!batch->rows.empty()) {
         observer_.on_changes(batch->rows);
     }
@@ -78,6 +82,15 @@
     }
 }
 
+bool table_follower::adopt(const row_batch& batch) {
+    if (batch.at <= at_) {
+        return false;
+    }
+    at_ = batch.at;
+    observer_.on_table(batch.rows);
+    return true;
+}
+
 void table_follower::answered() {
     retry_ = micros{0};
     if (std::exchange(away_, false)) {
--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -125,7 +125,10 @@
     CHECK(fixture.talk(busy, "GET /2 HTTP/1.1\r\n\r\n", "/2").find("Connection: close") !=
           std::string::npos);
     REQUIRE(run_until(fixture.loop, [&] { return fixture.server.server().connections() == 1; }));
-    fixture.server.server().close_idle();
+    fixture.server.server().close_idle(std::chrono::seconds(10));
+    CHECK(fixture.server.server().connections() == 1);
+    run_for(fixture.loop, millis{20});
+    fixture.server.server().close_idle(millis{10});
     CHECK(fixture.server.server().connections() == 0);
     ::close(idle);
     ::close(busy);
--- a/tests/node/duties_test.cc
+++ b/tests/node/duties_test.cc
@@ -22,6 +22,7 @@
         customer.id = customer_id("c");
         parts.customers = {customer};
         state.config = serving_config::make(parts);
+        peers->set_knows_usage(true);
         lease.start();
         reporter.start();
     }
--- a/tests/node/peer_digest_test.cc
+++ b/tests/node/peer_digest_test.cc
@@ -9,8 +9,11 @@
     digest.node = node_id("n1");
     digest.start = incarnation(7);
     digest.is_ready = true;
-    digest.config_version = 12;
+    digest.table_versions = {row_version(12), row_version(3)};
+    digest.knows_usage = true;
     digest.holds_duties = true;
+    digest.lease_record = "record";
+    digest.lease_version = row_version(77);
     digest.spending = {{customer_id("c"), 1234.5}};
     digest.usage[usage_window(9)][customer_id("c")] = 4;
     digest.loads[backend_server_id("i-1")] = {2, 300, 4'000};
@@ -21,8 +24,11 @@
     CHECK(read->start == digest.start);
     CHECK(read->is_ready);
     CHECK_FALSE(read->is_leaving);
-    CHECK(read->config_version == 12);
+    CHECK(read->table_versions == digest.table_versions);
+    CHECK(read->knows_usage);
     CHECK(read->holds_duties);
+    CHECK(read->lease_record == "record");
+    CHECK(read->lease_version == row_version(77));
     CHECK(read->spending[0].total == 1234.5);
     CHECK(read->usage == digest.usage);
     CHECK(read->loads == digest.loads);
--- a/tests/node/peer_exchange_test.cc
+++ b/tests/node/peer_exchange_test.cc
@@ -32,8 +32,9 @@
         peers->on_changes({row});
     }
     /// Lets the node hear a ready peer.
-    void hear(const std::string& name) {
+    void hear(const std::string& name, std::map<usage_window, usage_counts> usage = {}) {
         peer_digest digest;
+        digest.usage = std::move(usage);
         digest.node = node_id(name);
         digest.start = incarnation(1);
         digest.is_ready = true;
@@ -97,6 +98,22 @@
     CHECK(fixture.named() == std::set<std::string>{"10.0.0.1"});
 }
 
+TEST_CASE("a node that removed its row is not named any more, but its counts are still taken") {
+    peers_fixture fixture;
+    fixture.add_row("n2", "10.0.0.2:80");
+    fixture.hear("n2");
+    stored_row gone;
+    gone.key = "n2";
+    gone.removed = true;
+    fixture.peers->on_changes({gone});
+    CHECK(fixture.named() == std::set<std::string>{"10.0.0.1"});
+    const usage_window window(5);
+    fixture.hear("n2", {{window, {{customer_id("c"), 3}}}});
+    CHECK(fixture.state->usage.total(window)[customer_id("c")] == 3);
+    fixture.advance(millis{2'000});
+    CHECK(fixture.peers->live_peers() == 0);
+}
+
 TEST_CASE("a node whose row another removed writes it again") {
     peers_fixture fixture;
     fixture.advance(millis{100});
--- /dev/null
+++ b/tests/node/peer_messages_test.cc
@@ -0,0 +1,37 @@
+#include "node/peer_messages.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+TEST_CASE("usage records come back as they were, and torn ones are told") {
+    usage_ledger ledger(millis{5'000});
+    ledger.count(customer_id("c"), wall_time(millis{36'000}));
+    ledger.on_peer_counts(node_id("n2"), incarnation(5), usage_window(7), {{customer_id("d"), 4}});
+    const std::string bytes = encode(ledger.all(node_id("n1"), incarnation(3)));
+    const auto read = decode_usage(bytes);
+    REQUIRE(read.ok());
+    usage_ledger other(millis{5'000});
+    for (const usage_record& record : *read) {
+        other.on_peer_counts(record.node, record.start, record.window, record.counts);
+    }
+    CHECK(other.total(usage_window(7)) == ledger.total(usage_window(7)));
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        CHECK_FALSE(decode_usage(bytes.substr(0, length)).ok());
+    }
+}
+
+TEST_CASE("rows come back as they were, whatever their bytes, and torn ones are told") {
+    row_batch batch;
+    batch.at = row_version(9);
+    batch.rows.push_back({"k", std::string("\xff\x00z", 3), row_version(8), false});
+    const std::string bytes = encode(batch);
+    const auto read = decode_rows(bytes);
+    REQUIRE(read.ok());
+    CHECK(read->at == batch.at);
+    REQUIRE(read->rows.size() == 1);
+    CHECK(read->rows[0].value == batch.rows[0].value);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        CHECK_FALSE(decode_rows(bytes.substr(0, length)).ok());
+    }
+}
--- a/tests/serving/scaling_planner_test.cc
+++ b/tests/serving/scaling_planner_test.cc
@@ -29,6 +29,14 @@
     return sum;
 }
 
+unsigned reliable_of(const server_numbers& numbers) {
+    unsigned sum = 0;
+    for (const auto& [group, count] : numbers) {
+        sum += group.reclaimable ? 0 : count;
+    }
+    return sum;
+}
+
 constexpr time_point start{micros{1'000'000}};
 
 } // namespace
@@ -63,21 +71,33 @@
 TEST_CASE("servers that do not come are replaced by reliable ones") {
     const scaling_limits limits = limits_with(0.2);
     scaling_planner planner;
-    const server_numbers first = planner.plan(limits, 4.0, {}, start);
-    server_numbers present = first;
+    server_numbers settled;
+    int second = 0;
+    for (; second < 30; ++second) {
+        settled = planner.plan(limits, 3.0, settled, start + std::chrono::seconds(second));
+    }
+    server_numbers present = settled;
     for (auto& [group, count] : present) {
         count = group.reclaimable ? 0 : count;
     }
+    for (; second < 40; ++second) {
+        (void)planner.plan(limits, 3.0, present, start + std::chrono::seconds(second));
+    }
     const server_numbers later =
-        planner.plan(limits, 4.0, present, start + std::chrono::seconds(10));
-    const auto reliable = [](const server_numbers& numbers) {
-        unsigned sum = 0;
-        for (const auto& [group, count] : numbers) {
-            sum += group.reclaimable ? 0 : count;
-        }
-        return sum;
-    };
-    CHECK(reliable(later) > reliable(first));
+        planner.plan(limits, 3.0, present, start + std::chrono::seconds(second));
+    CHECK(reliable_of(later) >= reliable_of(settled) + 3);
+}
+
+TEST_CASE("a new holder of the duties counts on the reclaimable servers that are there") {
+    const scaling_limits limits = limits_with(0.2);
+    scaling_planner before;
+    server_numbers settled;
+    for (int second = 0; second < 30; ++second) {
+        settled = before.plan(limits, 3.0, settled, start + std::chrono::seconds(second));
+    }
+    scaling_planner after;
+    const server_numbers plan = after.plan(limits, 3.0, settled, start + std::chrono::seconds(30));
+    CHECK(reliable_of(plan) <= reliable_of(settled) + 1);
 }
 
 TEST_CASE("no server is given up before the demand is known") {
--- a/tests/store/table_follower_test.cc
+++ b/tests/store/table_follower_test.cc
@@ -115,3 +115,21 @@
     fixture.advance(millis{1'500});
     CHECK(fixture.seen.rows["a"] == "2");
 }
+
+TEST_CASE("a newer table from another follower is adopted, an older one is not") {
+    follower_fixture fixture;
+    fixture.store.put("t", "a", "1");
+    fixture.follower.start();
+    fixture.advance(millis{10});
+    fixture.store.set_failure(absl::UnavailableError("turned away"));
+    fixture.advance(millis{500});
+    row_batch newer;
+    newer.at = row_version(5);
+    newer.rows.push_back({"b", "2", row_version(5), false});
+    CHECK(fixture.follower.adopt(newer));
+    CHECK(fixture.seen.rows == std::map<std::string, std::string>{{"b", "2"}});
+    row_batch older;
+    older.at = row_version(4);
+    CHECK_FALSE(fixture.follower.adopt(older));
+    CHECK(fixture.seen.rows.size() == 1);
+}
