Place by what engines were given to read, and learn the time to a first event

Change: readings of prompts are told in digests; the time to a first event is a line over the work, by least squares for each service, with a factor for each server; a call is refused at once when the wait behind others does not fit its target.

--- a/include/jujubetide/serving/engine_placement.h
+++ b/include/jujubetide/serving/engine_placement.h
@@ -2,6 +2,7 @@
 
 #include "jujubetide/serving/backend_list.h"
 #include "jujubetide/serving/load_board.h"
+#include "jujubetide/serving/prompt_memory.h"
 #include "jujubetide/serving/server_health.h"
 #include "jujubetide/serving/serving_config.h"
 
@@ -12,12 +13,6 @@
 
 namespace jujubetide {
 
-/// A piece of a prompt that other calls may share.
-struct prompt_part {
-    std::string id;
-    std::uint64_t tokens = 0;
-};
-
 /// What a placement is made for.
 struct placement_query {
     const serving_service* service = nullptr;
@@ -35,6 +30,10 @@
     const backend_server* server = nullptr;
     /// Estimated time to the first event, or to the answer's begin.
     micros first_event{0};
+    /// The part of it that is due to other calls.
+    micros waiting{0};
+    /// The work before the first event at the nominal reading speed, for learning.
+    micros nominal_work{0};
     /// Prompt tokens that the server is believed to have to read.
     std::uint64_t unread_tokens = 0;
     /// Tokens that the call will hold in the server's memory.
@@ -82,13 +81,39 @@
     const server_health& health_;
 };
 
-/// Places by the estimated time to the first event. A prompt's shared parts have a home, the same
-/// at all nodes, where they are believed to be in memory; a call leaves the home when waiting there
-/// costs more than reading the shared parts again elsewhere.
+/// Learns the time to a first event as a line over the work before it, by least squares over recent
+/// observations. Not thread-safe.
+class first_event_model {
+public:
+    first_event_model();
+
+    void add(double work_ms, double seen_ms);
+    /// Milliseconds that a call without any work takes.
+    [[nodiscard]] double fixed_ms() const;
+    /// Milliseconds for each of nominal work.
+    [[nodiscard]] double slope() const;
+
+private:
+    void add_weighted(double work_ms, double seen_ms, double weight);
+
+    double count_ = 0.0;
+    double work_ = 0.0;
+    double seen_ = 0.0;
+    double work_squared_ = 0.0;
+    double work_seen_ = 0.0;
+};
+
+/// Places by the estimated time to the first event, learnt from what came. A call leaves the
+/// servers that have its prompt's shared parts in memory when waiting there costs more than reading
+/// them again elsewhere.
 class engine_placement final : public placement {
 public:
-    engine_placement(const load_board& loads, const server_health& health)
-        : loads_(loads), health_(health) {}
+    engine_placement(const load_board& loads, const server_health& health,
+                     const prompt_memory& memory)
+        : loads_(loads), health_(health), memory_(memory) {}
+
+    /// Seconds that a server of the service takes to read this many tokens, as learnt.
+    [[nodiscard]] double reading_seconds(const service_id& service, std::uint64_t tokens) const;
 
 protected:
     std::optional<placement_choice>
@@ -102,12 +127,14 @@
         double score = 0.0;
     };
     [[nodiscard]] scored score(const placement_query& query, const backend_server& server,
-                               std::uint64_t shared, std::uint64_t believed_cached) const;
-    [[nodiscard]] double slowdown(const backend_server_id& id) const;
+                               std::span<const prompt_prefix> shared) const;
+    [[nodiscard]] double relative_slowdown(const backend_server_id& id) const;
 
     const load_board& loads_;
     const server_health& health_;
-    /// How many times longer than estimated a server takes.
+    const prompt_memory& memory_;
+    absl::flat_hash_map<service_id, first_event_model> models_;
+    /// How many times longer than its service's model a server takes.
     absl::flat_hash_map<backend_server_id, double> slowdowns_;
 };
 
--- a/src/node/peer_digest.cc
+++ b/src/node/peer_digest.cc
@@ -35,6 +35,10 @@
     for (const auto& [server, load] : digest.loads) {
         loads.push_back({server.str(), load.running, load.unread_tokens, load.held_tokens});
     }
+    json readings = json::array();
+    for (const prefix_reading& one : digest.readings) {
+        readings.push_back({one.key.value(), one.server.str()});
+    }
     json demand = json::array();
     for (const auto& [service, servers] : digest.demand) {
         demand.push_back({service.str(), static_cast<float>(servers)});
@@ -45,7 +49,8 @@
                        digest.knows_usage,   digest.holds_duties,
                        digest.lease_record,  digest.lease_version.value(),
                        std::move(spending),  std::move(usage),
-                       std::move(loads),     std::move(demand)};
+                       std::move(loads),     std::move(demand),
+                       std::move(readings)};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -88,6 +93,10 @@
         for (const json& one : body.at(at++)) {
             digest.demand[service_id(one.at(0).get<std::string>())] = one.at(1).get<double>();
         }
+        for (const json& one : body.at(at++)) {
+            digest.readings.push_back({prefix_key(one.at(0).get<std::uint64_t>()),
+                                       backend_server_id(one.at(1).get<std::string>())});
+        }
         return digest;
     } catch (const json::exception& error) {
         return absl::InvalidArgumentError(absl::StrCat("not a digest: ", error.what()));
--- a/src/node/peer_digest.h
+++ b/src/node/peer_digest.h
@@ -2,6 +2,7 @@
 
 #include "jujubetide/base/ids.h"
 #include "jujubetide/serving/load_board.h"
+#include "jujubetide/serving/prompt_memory.h"
 #include "jujubetide/serving/usage_cap.h"
 #include "jujubetide/serving/usage_ledger.h"
 
@@ -33,6 +34,8 @@
     std::vector<customer_spending> spending;
     std::map<usage_window, usage_counts> usage;
     server_loads loads;
+    /// Beginnings of prompts that the node had read since its last digest.
+    std::vector<prefix_reading> readings;
     /// Servers that each service's calls at the node need.
     std::map<service_id, double> demand;
 };
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -127,6 +127,7 @@
     digest.spending = state_.caps.spending();
     digest.usage = state_.usage.own();
     digest.loads = state_.loads.own();
+    digest.readings = state_.prompts.take_news();
     digest.demand = state_.demand.all(state_.time.now());
     const std::string bytes = encode(digest);
     for (const auto& [node, one] : peers_) {
@@ -167,6 +168,9 @@
         state_.usage.on_peer_counts(digest->node, digest->start, window, counts);
     }
     state_.loads.set_peer(digest->node, digest->loads);
+    for (const prefix_reading& one : digest->readings) {
+        state_.prompts.on_read(one.key, one.server, now);
+    }
 }
 
 bool peer_exchange::lives(const peer& one) const {
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -23,9 +23,8 @@
 constexpr micros max_idle{4'000'000};
 /// Shortest time left in which another attempt makes sense.
 constexpr micros least_time_for_attempt{20'000};
-/// Callers leave a stream without its first event after this many times the target, or the least.
-constexpr int abandoned_after_targets = 4;
-constexpr micros least_abandoned_after{2'000'000};
+/// Part of the target that any call may wait for others.
+constexpr int least_wait_divisor = 3;
 /// Silence of a server after which a stream that may be resumed goes on elsewhere.
 constexpr micros longest_silence{1'500'000};
 constexpr micros silence_check_period{250'000};
@@ -33,8 +32,6 @@
 constexpr micros least_retry_after{100'000};
 /// Server time that an output token costs in a batch of usual size, in seconds.
 constexpr double seconds_per_output_token = 0.0009;
-/// Prompt tokens that an engine reads in a second.
-constexpr double read_tokens_per_second = 40'000.0;
 /// Engine priorities: callers' priorities count from 0, the engines' default is 5.
 constexpr int first_engine_priority = 2;
 constexpr int last_engine_priority = 9;
@@ -164,10 +161,12 @@
     if (!is_stream() || progress_.has_begun) {
         return false;
     }
-    const micros abandoned =
-        std::max<micros>(least_abandoned_after, route_.target * abandoned_after_targets);
     const micros waited = state_.time.now() - request_.began;
-    return waited + choice.first_event > std::min<micros>(abandoned, deadline_ - request_.began);
+    const micros reading = choice.first_event - choice.waiting;
+    // A prompt that is too long for its target by itself still gets a share of the time.
+    const micros allowed =
+        std::max<micros>(route_.target - reading - waited, route_.target / least_wait_divisor);
+    return choice.waiting > allowed || waited + choice.first_event > deadline_ - request_.began;
 }
 
 void proxied_call::attempt() {
@@ -219,11 +218,14 @@
     call_options options;
     options.connect_timeout = std::min<micros>(connect_timeout, time_left());
     options.max_idle = retry_policy::may_rerun(route_) ? max_idle : max_idle_once;
+    for (const prompt_prefix& prefix : shared_prefixes(request_.fields.parts)) {
+        state_.prompts.on_own_read(prefix.key, server_.id, sent_);
+    }
     state_.loads.on_sent(server_.id, choice_.unread_tokens, choice_.held_tokens);
     if (progress_.servers_tried == 0 && progress_.void_sends == 0) {
         state_.demand.add(
             service_->id,
-            static_cast<double>(choice_.unread_tokens) / read_tokens_per_second +
+            state_.engines.reading_seconds(service_->id, choice_.unread_tokens) +
                 static_cast<double>(choice_.held_tokens -
                                     std::min(choice_.held_tokens, request_.fields.prompt_tokens)) *
                     seconds_per_output_token,
@@ -304,6 +306,7 @@
     last_event_at_ = state_.time.now();
     if (!attempt_has_events_) {
         attempt_has_events_ = true;
+        first_event_after_ = last_event_at_ - sent_;
         state_.loads.on_begun(server_.id, choice_.unread_tokens);
         state_.engines.on_first_event(choice_, last_event_at_ - sent_);
         on_first_answer();
@@ -527,6 +530,8 @@
                              {"cause", std::string(cause)},
                              {"ms", ms_text(state_.time.now() - request_.began)},
                              {"estimate_ms", ms_text(choice_.first_event)},
+                             {"first_event_ms", ms_text(first_event_after_)},
+                             {"unread_tokens", std::to_string(choice_.unread_tokens)},
                              {"events", std::to_string(events_.events())},
                              {"framing", std::string(name_of(head_.framing))},
                              {"servers_tried", std::to_string(progress_.servers_tried)},
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -89,6 +89,7 @@
     placement_choice choice_;
     time_point sent_{};
     time_point last_event_at_{};
+    micros first_event_after_{0};
     response_head head_;
     answer_fields answer_;
     bool has_head_ = false;
--- a/src/node/serving_state.h
+++ b/src/node/serving_state.h
@@ -47,7 +47,8 @@
     backend_list backends;
     load_board loads;
     server_health health;
-    engine_placement engines{loads, health};
+    prompt_memory prompts;
+    engine_placement engines{loads, health, prompts};
     least_running_placement plain{loads, health};
     usage_cap caps;
     usage_ledger usage;
--- a/src/node/table_watches.cc
+++ b/src/node/table_watches.cc
@@ -116,6 +116,7 @@
     }
     if (before != nullptr && before->server.started_at_ms != server.started_at_ms) {
         state_.health.forget(server.id);
+        state_.prompts.forget(server.id);
     }
     state_.backends.put(server);
 }
@@ -131,8 +132,10 @@
 }
 
 void registration_watch::expire() {
+    state_.prompts.expire(state_.time.now());
     for (const backend_server_id& id : state_.backends.expire(state_.time.now())) {
         state_.health.forget(id);
+        state_.prompts.forget(id);
         state_.log.write(server_gone, {{"server", id.str()}});
     }
 }
--- a/src/serving/engine_placement.cc
+++ b/src/serving/engine_placement.cc
@@ -3,7 +3,6 @@
 #include "jujubetide/base/rendezvous_hash.h"
 
 #include <algorithm>
-#include <array>
 #include <limits>
 
 namespace jujubetide {
@@ -11,15 +10,25 @@
 
 /// Prompt tokens that an engine reads in a millisecond before anything is learnt of it.
 constexpr double default_tokens_per_ms = 40.0;
-/// Time to a first event besides waiting and reading, in milliseconds.
-constexpr double fixed_first_event_ms = 30.0;
+/// Time to a first event besides waiting and reading before anything is learnt, in milliseconds.
+constexpr double fixed_first_event_ms = 40.0;
+/// The assumed line counts as much as this many observations at each of two points.
+constexpr double assumed_weight = 4.0;
+constexpr double assumed_work_ms = 500.0;
+/// What an observation keeps of its weight with each new one.
+constexpr double kept_weight = 0.985;
+/// Bounds of what is learnt.
+constexpr double least_fixed_ms = 5.0;
+constexpr double most_fixed_ms = 400.0;
+constexpr double least_slope = 0.3;
+constexpr double most_slope = 4.0;
 /// Delay that each running call adds to the others, in milliseconds.
 constexpr double delay_per_running_ms = 2.0;
 /// Cost of reading shared tokens again, besides its time, as a multiple of that time: the engine
 /// could have read another prompt.
 constexpr double reread_weight = 1.0;
-/// How surely the first and the second home of a prompt's shared parts hold them.
-constexpr std::array<double, 2> home_belief = {0.9, 0.4};
+/// Advantage of the server that all nodes prefer for a prompt that none has read, in milliseconds.
+constexpr double preferred_ms = 15.0;
 /// Cost of a server whose answers all fail, in milliseconds.
 constexpr double failure_cost_ms = 4'000.0;
 /// Cost of each call beyond a server's slots, in milliseconds.
@@ -29,9 +38,11 @@
 /// Cost of filling an engine's memory to the brim, in milliseconds.
 constexpr double memory_cost_ms = 2'000.0;
 /// Weight of a new observation of a server's speed.
-constexpr double slowdown_weight = 0.1;
-constexpr double least_slowdown = 0.3;
-constexpr double most_slowdown = 6.0;
+constexpr double slowdown_weight = 0.08;
+constexpr double least_slowdown = 0.5;
+constexpr double most_slowdown = 3.0;
+/// Work that tells something of a server's speed, in milliseconds.
+constexpr double telling_work_ms = 40.0;
 
 bool was_tried(const placement_query& query, const backend_server& server) {
     return std::find(query.tried.begin(), query.tried.end(), server.id) != query.tried.end();
@@ -51,21 +62,16 @@
     return list.empty() ? paused : list;
 }
 
-/// The servers with the two highest weights for `key`.
-std::array<const backend_server*, 2> homes(std::string_view key,
-                                           std::span<const backend_server* const> servers) {
-    std::array<const backend_server*, 2> best{};
-    std::array<std::uint64_t, 2> weights{};
+/// The server with the highest weight for `key`, the same at all nodes.
+const backend_server* preferred(std::string_view key,
+                                std::span<const backend_server* const> servers) {
+    const backend_server* best = nullptr;
+    std::uint64_t highest = 0;
     for (const backend_server* server : servers) {
         const std::uint64_t weight = rendezvous_weight(key, server->id.str());
-        if (best[0] == nullptr || weight > weights[0]) {
-            best[1] = best[0];
-            weights[1] = weights[0];
-            best[0] = server;
-            weights[0] = weight;
-        } else if (best[1] == nullptr || weight > weights[1]) {
-            best[1] = server;
-            weights[1] = weight;
+        if (best == nullptr || weight > highest) {
+            best = server;
+            highest = weight;
         }
     }
     return best;
@@ -90,7 +96,9 @@
             failure_cost_ms / fixed_first_event_ms * health_.failure_part(server->id, query.now);
         if (score < least) {
             least = score;
-            best = placement_choice{server, from_ms(fixed_first_event_ms), 0, 0};
+            best = placement_choice{};
+            best->server = server;
+            best->first_event = from_ms(fixed_first_event_ms);
         }
     }
     return best;
@@ -103,22 +111,13 @@
     if (servers.empty()) {
         return std::nullopt;
     }
-    std::uint64_t shared = 0;
-    std::string key;
-    for (std::size_t i = 0; i + 1 < query.parts.size(); ++i) {
-        shared += query.parts[i].tokens;
-        key = query.parts[i].id;
-    }
-    // A prompt's last shared part stands for all before it.
-    const auto home = shared == 0 ? std::array<const backend_server*, 2>{} : homes(key, servers);
+    const std::vector<prompt_prefix> shared = shared_prefixes(query.parts);
+    const backend_server* first =
+        shared.empty() ? nullptr : preferred(query.parts[query.parts.size() - 2].id, servers);
     std::optional<scored> best;
     for (const backend_server* server : servers) {
-        double belief = 0.0;
-        for (std::size_t i = 0; i < home.size(); ++i) {
-            belief = server == home[i] ? home_belief[i] : belief;
-        }
-        const auto cached = static_cast<std::uint64_t>(static_cast<double>(shared) * belief);
-        const scored one = score(query, *server, shared, cached);
+        scored one = score(query, *server, shared);
+        one.score -= server == first ? preferred_ms : 0.0;
         if (!best || one.score < best->score) {
             best = one;
         }
@@ -127,25 +126,36 @@
 }
 
 engine_placement::scored engine_placement::score(const placement_query& query,
-                                                 const backend_server& server, std::uint64_t shared,
-                                                 std::uint64_t believed_cached) const {
+                                                 const backend_server& server,
+                                                 std::span<const prompt_prefix> shared) const {
+    double cached = 0.0;
+    for (const prompt_prefix& prefix : shared) {
+        cached = std::max(cached, static_cast<double>(prefix.tokens) *
+                                      memory_.belief(prefix.key, server.id, query.now));
+    }
     const server_load load = loads_.total(server.id);
-    const std::uint64_t unread =
-        query.prompt_tokens - std::min(query.prompt_tokens, believed_cached);
-    const double rate = default_tokens_per_ms / slowdown(server.id);
-    const double waiting = static_cast<double>(load.unread_tokens) / rate;
-    const double reading = static_cast<double>(unread) / rate;
-    const double beyond =
-        std::max(0.0, static_cast<double>(load.running + 1) - static_cast<double>(server.slots));
-    const double first_event = fixed_first_event_ms + waiting + reading + beyond * beyond_slots_ms;
+    const auto believed = static_cast<std::uint64_t>(cached);
+    const std::uint64_t unread = query.prompt_tokens - std::min(query.prompt_tokens, believed);
+    const auto model = models_.find(query.service->id);
+    const first_event_model assumed;
+    const first_event_model& line = model == models_.end() ? assumed : model->second;
+    const double speed = line.slope() * relative_slowdown(server.id);
+    const double waiting = static_cast<double>(load.unread_tokens) / default_tokens_per_ms;
+    const double reading = static_cast<double>(unread) / default_tokens_per_ms;
+    const double beyond = beyond_slots_ms * std::max(0.0, static_cast<double>(load.running + 1) -
+                                                              static_cast<double>(server.slots));
+    const double first_event = line.fixed_ms() + (waiting + reading) * speed + beyond;
 
     scored result;
     result.choice.server = &server;
     result.choice.first_event = from_ms(first_event);
+    result.choice.waiting = from_ms(waiting * speed + beyond);
+    result.choice.nominal_work = from_ms(waiting + reading);
     result.choice.unread_tokens = unread;
     result.choice.held_tokens = query.prompt_tokens + query.output_tokens;
 
-    const double reread = static_cast<double>(shared - std::min(shared, believed_cached)) / rate;
+    const double shared_tokens = shared.empty() ? 0.0 : static_cast<double>(shared.back().tokens);
+    const double reread = std::max(0.0, shared_tokens - cached) / default_tokens_per_ms * speed;
     double memory = 0.0;
     if (query.service->engine && query.service->engine->kv_tokens.value() > 0) {
         const double part = static_cast<double>(load.held_tokens + result.choice.held_tokens) /
@@ -158,7 +168,14 @@
     return result;
 }
 
-double engine_placement::slowdown(const backend_server_id& id) const {
+double engine_placement::reading_seconds(const service_id& service, std::uint64_t tokens) const {
+    constexpr double ms_per_second = 1'000.0;
+    const auto model = models_.find(service);
+    const double slope = model == models_.end() ? 1.0 : model->second.slope();
+    return static_cast<double>(tokens) / default_tokens_per_ms / ms_per_second * slope;
+}
+
+double engine_placement::relative_slowdown(const backend_server_id& id) const {
     const auto found = slowdowns_.find(id);
     return found == slowdowns_.end() ? 1.0 : found->second;
 }
@@ -167,17 +184,50 @@
     if (choice.server == nullptr) {
         return;
     }
-    double& factor = slowdowns_.try_emplace(choice.server->id, 1.0).first->second;
     const std::chrono::duration<double, std::milli> seen = after;
-    const std::chrono::duration<double, std::milli> expected = choice.first_event;
-    const double variable_seen = std::max(1.0, seen.count() - fixed_first_event_ms);
-    const double variable_expected = std::max(1.0, expected.count() - fixed_first_event_ms);
-    constexpr double telling_ms = 20.0;
-    if (variable_expected < telling_ms) {
+    const std::chrono::duration<double, std::milli> work = choice.nominal_work;
+    first_event_model& line = models_[choice.server->service];
+    line.add(work.count(), seen.count());
+    if (work.count() < telling_work_ms) {
         return;
     }
-    const double ratio = factor * variable_seen / variable_expected;
+    const double expected = work.count() * line.slope();
+    const double ratio = std::max(0.0, seen.count() - line.fixed_ms()) / expected;
+    double& factor = slowdowns_.try_emplace(choice.server->id, 1.0).first->second;
     factor += slowdown_weight * (std::clamp(ratio, least_slowdown, most_slowdown) - factor);
 }
 
+first_event_model::first_event_model() {
+    add_weighted(0.0, fixed_first_event_ms, assumed_weight);
+    add_weighted(assumed_work_ms, fixed_first_event_ms + assumed_work_ms, assumed_weight);
+}
+
+void first_event_model::add(double work_ms, double seen_ms) {
+    for (double* sum : {&count_, &work_, &seen_, &work_squared_, &work_seen_}) {
+        *sum *= kept_weight;
+    }
+    add_weighted(work_ms, seen_ms, 1.0);
+}
+
+void first_event_model::add_weighted(double work_ms, double seen_ms, double weight) {
+    count_ += weight;
+    work_ += weight * work_ms;
+    seen_ += weight * seen_ms;
+    work_squared_ += weight * work_ms * work_ms;
+    work_seen_ += weight * work_ms * seen_ms;
+}
+
+double first_event_model::slope() const {
+    const double spread = count_ * work_squared_ - work_ * work_;
+    constexpr double no_spread = 1.0;
+    if (spread < no_spread) {
+        return 1.0;
+    }
+    return std::clamp((count_ * work_seen_ - work_ * seen_) / spread, least_slope, most_slope);
+}
+
+double first_event_model::fixed_ms() const {
+    return std::clamp((seen_ - slope() * work_) / count_, least_fixed_ms, most_fixed_ms);
+}
+
 } // namespace jujubetide
--- a/src/serving/scaling_planner.cc
+++ b/src/serving/scaling_planner.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// Part of a server's time that its work may take while callers still get their targets.
-constexpr double target_use = 0.42;
+constexpr double target_use = 0.45;
 /// Servers beyond those needed on average, for bursts.
 constexpr double spare_servers = 1.0;
 /// Time in which a past peak loses most of its weight, in seconds.
--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 using namespace jujubetide;
+using namespace jujubetide::testing;
 
 namespace {
 
--- a/tests/net/tcp_connection_test.cc
+++ b/tests/net/tcp_connection_test.cc
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 using namespace jujubetide;
+using namespace jujubetide::testing;
 
 namespace {
 
--- a/tests/node/peer_digest_test.cc
+++ b/tests/node/peer_digest_test.cc
@@ -18,6 +18,7 @@
     digest.usage[usage_window(9)][customer_id("c")] = 4;
     digest.loads[backend_server_id("i-1")] = {2, 300, 4'000};
     digest.demand[service_id("s")] = 1.5;
+    digest.readings = {{prefix_key(99), backend_server_id("i-1")}};
     const auto read = decode_digest(encode(digest));
     REQUIRE(read.ok());
     CHECK(read->node == digest.node);
@@ -33,6 +34,8 @@
     CHECK(read->usage == digest.usage);
     CHECK(read->loads == digest.loads);
     CHECK(read->demand == digest.demand);
+    REQUIRE(read->readings.size() == 1);
+    CHECK(read->readings[0].key == prefix_key(99));
 }
 
 TEST_CASE("bytes that are no digest are told") {
--- a/tests/serving/engine_placement_test.cc
+++ b/tests/serving/engine_placement_test.cc
@@ -44,12 +44,15 @@
         std::uint64_t reread_tokens = 0;
     };
 
-    template <class Placement>
-    outcome play(double calls_per_second) {
+    /// `naive` places by running calls only.
+    outcome play(double calls_per_second, bool naive) {
         seeded_random random(7);
         load_board loads;
         server_health health;
-        Placement placement(loads, health);
+        prompt_memory memory;
+        least_running_placement by_running(loads, health);
+        engine_placement by_estimate(loads, health, memory);
+        placement& tested = naive ? static_cast<placement&>(by_running) : by_estimate;
         const auto servers = make_servers(engines);
         const auto candidates = pointers_to(servers);
         serving_service service;
@@ -74,7 +77,7 @@
             query.prompt_tokens = shared_tokens + own_tokens;
             query.output_tokens = 120;
             query.now = now;
-            const auto choice = placement.choose(query, candidates);
+            const auto choice = tested.choose(query, candidates);
             if (!choice) {
                 continue;
             }
@@ -86,6 +89,9 @@
             free_at[id] =
                 begin +
                 micros(static_cast<std::int64_t>(1e3 * static_cast<double>(read) / tokens_per_ms));
+            for (const prompt_prefix& prefix : shared_prefixes(parts)) {
+                memory.on_read(prefix.key, id, now);
+            }
             loads.on_sent(id, choice->unread_tokens, choice->held_tokens);
             running.push_back({id, free_at[id], free_at[id] + millis{1'200}, choice->unread_tokens,
                                choice->held_tokens, false});
@@ -124,19 +130,18 @@
 TEST_CASE("played load: prompts that share most of their tokens are on time where the naive "
           "placement reads them again") {
     constexpr double calls_per_second = 30.0;
-    const auto naive = played_load().play<least_running_placement>(calls_per_second);
-    const auto placed = played_load().play<engine_placement>(calls_per_second);
+    const auto naive = played_load().play(calls_per_second, true);
+    const auto placed = played_load().play(calls_per_second, false);
     CHECK(placed.on_time > 0.95);
     CHECK(placed.on_time > naive.on_time + 0.05);
     CHECK(placed.reread_tokens * 3 < naive.reread_tokens);
 }
 
-TEST_CASE("a prompt's shared parts have the same home at all nodes, until it is overloaded") {
+TEST_CASE("a prompt goes where its shared parts were read, until that server is overloaded") {
     load_board loads;
     server_health health;
-    engine_placement one(loads, health);
-    load_board other_loads;
-    engine_placement other(other_loads, health);
+    prompt_memory memory;
+    engine_placement placement(loads, health, memory);
     const auto servers = make_servers(engines);
     const auto candidates = pointers_to(servers);
     serving_service service;
@@ -146,16 +151,48 @@
     query.service = &service;
     query.parts = parts;
     query.prompt_tokens = shared_tokens + own_tokens;
-    const auto home = one.choose(query, candidates)->server->id;
-    CHECK(other.choose(query, candidates)->server->id == home);
-    loads.on_sent(home, 200'000, 200'000);
-    CHECK(one.choose(query, candidates)->server->id != home);
+    query.now = time_point{micros{1'000'000}};
+    const auto first = placement.choose(query, candidates)->server->id;
+    load_board other_loads;
+    const prompt_memory nothing;
+    engine_placement other(other_loads, health, nothing);
+    CHECK(other.choose(query, candidates)->server->id == first);
+    memory.on_read(shared_prefixes(parts)[0].key, servers[3].id, query.now);
+    CHECK(placement.choose(query, candidates)->server->id == servers[3].id);
+    CHECK(placement.choose(query, candidates)->unread_tokens < own_tokens + shared_tokens / 10);
+    loads.on_sent(servers[3].id, 200'000, 200'000);
+    CHECK(placement.choose(query, candidates)->server->id != servers[3].id);
+}
+
+TEST_CASE("estimates follow what came, also for servers that are new") {
+    load_board loads;
+    server_health health;
+    prompt_memory memory;
+    engine_placement placement(loads, health, memory);
+    const auto servers = make_servers(2);
+    const auto all = pointers_to(servers);
+    const std::vector<const backend_server*> one = {all[0]};
+    const std::vector<const backend_server*> other = {all[1]};
+    serving_service service;
+    placement_query query;
+    query.service = &service;
+    query.prompt_tokens = 10'000;
+    const micros before = placement.choose(query, other)->first_event;
+    for (int i = 0; i < 200; ++i) {
+        const auto choice = placement.choose(query, one);
+        placement.on_first_event(*choice, millis{700});
+    }
+    const micros learnt = placement.choose(query, one)->first_event;
+    CHECK(learnt > millis{600});
+    CHECK(learnt < millis{800});
+    CHECK(placement.choose(query, other)->first_event > before);
 }
 
 TEST_CASE("servers that were tried or are paused are left out while there are others") {
     load_board loads;
     server_health health;
-    engine_placement placement(loads, health);
+    prompt_memory memory;
+    engine_placement placement(loads, health, memory);
     const auto servers = make_servers(2);
     const auto candidates = pointers_to(servers);
     serving_service service;
--- a/tests/support/blocking_peer.cc
+++ b/tests/support/blocking_peer.cc
@@ -5,7 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace jujubetide {
+namespace jujubetide::testing {
 
 blocking_peer::blocking_peer(std::function<void(int)> act)
     : listener_(::socket(AF_INET, SOCK_STREAM, 0)) {
@@ -67,4 +67,4 @@
     return socket;
 }
 
-} // namespace jujubetide
+} // namespace jujubetide::testing
--- a/tests/support/blocking_peer.h
+++ b/tests/support/blocking_peer.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <thread>
 
-namespace jujubetide {
+namespace jujubetide::testing {
 
 /// The other end of a connection at the level of sockets, on a thread of its own: listens, accepts
 /// one connection and runs `act` on it.
@@ -35,4 +35,4 @@
 /// A blocking connection to an address.
 int connect_to(const endpoint& to);
 
-} // namespace jujubetide
+} // namespace jujubetide::testing
