--- a/include/jujubetide/edge/json_log.h
+++ b/include/jujubetide/edge/json_log.h
@@ -15,7 +15,7 @@
     /// Lines of one event kind in a second; further ones are dropped and counted.
     std::uint32_t lines_per_second = 200;
     /// Bytes that wait while the reader does not take them; further lines are dropped and counted.
-    std::size_t max_waiting_bytes = 256U * 1024U;
+    std::size_t max_waiting_bytes = std::size_t{256} * 1024;
     log_severity least = log_severity::info;
 };
 
--- a/include/jujubetide/net/tcp_connection.h
+++ b/include/jujubetide/net/tcp_connection.h
@@ -46,8 +46,8 @@
 class tcp_connection {
 public:
     /// A sender should pause above this many waiting bytes, and go on below `low_water`.
-    static constexpr std::size_t high_water = 256U * 1024U;
-    static constexpr std::size_t low_water = 64U * 1024U;
+    static constexpr std::size_t high_water = std::size_t{256} * 1024;
+    static constexpr std::size_t low_water = std::size_t{64} * 1024;
 
     /// Begins to connect. `events` must outlive the connection or be removed by `close`.
     static std::shared_ptr<tcp_connection> connect(event_loop& loop, const endpoint& to,
--- a/include/jujubetide/node/node.h
+++ b/include/jujubetide/node/node.h
@@ -54,6 +54,8 @@
     [[nodiscard]] std::vector<endpoint> caller_addresses() const;
     /// How long callers may keep such a list.
     [[nodiscard]] millis directory_lifetime() const;
+    /// Counters and histograms as text, in the usual format of Prometheus.
+    [[nodiscard]] std::string metrics_text() const;
     /// The address that callers are received at.
     [[nodiscard]] const endpoint& callers() const;
 
--- a/src/edge/json_log.cc
+++ b/src/edge/json_log.cc
@@ -11,7 +11,7 @@
 namespace {
 
 /// Lines are written together from this many bytes on, or by `flush`.
-constexpr std::size_t write_bytes = 8U * 1024U;
+constexpr std::size_t write_bytes = std::size_t{8} * 1024;
 
 const char* to_word(log_severity severity) {
     switch (severity) {
--- a/src/http1/message_parser.cc
+++ b/src/http1/message_parser.cc
@@ -73,7 +73,7 @@
     }
 
     int response_complete() {
-        response.status = parser.status_code;
+        response.status = static_cast<int>(parser.status_code);
         if ((parser.flags & F_CHUNKED) != 0) {
             response.framing = body_framing::chunked;
         } else if ((parser.flags & F_CONTENTLENGTH) != 0) {
@@ -93,7 +93,7 @@
         constexpr int informational = 100;
         constexpr int no_content = 204;
         constexpr int not_modified = 304;
-        const int status = parser->status_code;
+        const auto status = static_cast<int>(parser->status_code);
         return status / 100 != informational / 100 && status != no_content &&
                status != not_modified;
     }
--- a/src/http1/server_connection.cc
+++ b/src/http1/server_connection.cc
@@ -6,7 +6,7 @@
 namespace {
 
 /// Bytes of further requests that are kept while one is answered.
-constexpr std::size_t max_next_bytes = 64U * 1024U;
+constexpr std::size_t max_next_bytes = std::size_t{64} * 1024;
 /// How long input is still read and thrown away after a final response, so that closing does not
 /// reset the connection before the caller has read the response.
 constexpr micros linger_time{1'000'000};
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -6,7 +6,7 @@
 namespace jujubetide {
 namespace {
 
-constexpr std::size_t read_buffer_bytes = 64U * 1024U;
+constexpr std::size_t read_buffer_bytes = std::size_t{64} * 1024;
 
 /// A native timer; freed by the loop once it is closed.
 struct native_timer {
--- a/src/node/caller_front.cc
+++ b/src/node/caller_front.cc
@@ -72,6 +72,7 @@
 
 void caller_front::refuse(http1_exchange& exchange, const std::string& attempt, int status,
                           std::string_view cause, std::optional<micros> retry_after) {
+    state_.metrics.on_call({}, call_refused.name, cause, micros{0});
     state_.log.write(call_refused,
                      {{"id", attempt},
                       {"status", std::to_string(status)},
--- a/src/node/duty_lease.cc
+++ b/src/node/duty_lease.cc
@@ -51,12 +51,12 @@
     if (renews ? now - last_renewal_ < renewal_period : !is_candidate()) {
         return;
     }
-    if (lease_.needs_read()) {
-        read();
-    } else if (const auto what = lease_.next_write(now)) {
+    const std::optional<lease_write> what =
+        lease_.needs_read() ? std::nullopt : lease_.next_write(now);
+    if (what) {
         write(*what);
     } else {
-        read(); // Another's lease may last: look whether it is still renewed.
+        read(); // The row is not known, or another's lease may last and be renewed.
     }
 }
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -228,6 +228,21 @@
     return std::min(preferred_directory_lifetime, parts_->state.settings.directory_lifetime);
 }
 
+std::string node::metrics_text() const {
+    serving_state& state = parts_->state;
+    serving_metrics::snapshot now;
+    now.config_version = state.config ? state.config->version() : 0;
+    now.running_calls = state.calls.size();
+    now.caller_connections = parts_->callers->connections();
+    now.servers = state.backends.all().size();
+    now.live_peers = parts_->peers->live_peers();
+    now.holds_duties = parts_->lease->held();
+    now.config_away = parts_->config_follower.is_away();
+    now.registry_away = parts_->registration_follower.is_away();
+    now.server_connections_made = state.client.connections_made();
+    return state.metrics.text(now);
+}
+
 const endpoint& node::callers() const {
     return parts_->state.settings.callers;
 }
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -171,15 +171,13 @@
 
 void proxied_call::attempt() {
     if (time_left() < least_time_for_attempt) {
-        follow(retry_policy::without_resend(progress_, attempt_outcome::not_run),
-               attempt_outcome::not_run);
+        follow(retry_policy::without_resend(progress_, last_outcome_), last_outcome_);
         return;
     }
     const std::optional<placement_choice> choice = place();
     if (!choice) {
         last_cause_ = last_cause_.empty() ? "no_server" : last_cause_;
-        follow(retry_policy::without_resend(progress_, attempt_outcome::not_run),
-               attempt_outcome::not_run);
+        follow(retry_policy::without_resend(progress_, last_outcome_), last_outcome_);
         return;
     }
     if (is_hopeless(*choice) && !progress_.may_have_run) {
@@ -307,6 +305,7 @@
     if (!attempt_has_events_) {
         attempt_has_events_ = true;
         first_event_after_ = last_event_at_ - sent_;
+        state_.metrics.on_first_event(service_->id, first_event_after_);
         state_.loads.on_begun(server_.id, choice_.unread_tokens);
         state_.engines.on_first_event(choice_, last_event_at_ - sent_);
         on_first_answer();
@@ -415,7 +414,9 @@
         state_.health.on_bad_answer(server_.id, now);
         break;
     }
+    last_outcome_ = outcome;
     last_cause_ = name_of(outcome);
+    state_.metrics.on_attempt(service_->id, last_cause_);
     state_.log.write(attempt_over, {{"id", request_.fields.attempt},
                                     {"server", server_.id.str()},
                                     {"outcome", last_cause_},
@@ -433,7 +434,17 @@
     if (time_left() < least_time_for_attempt) {
         return false;
     }
-    return outcome == attempt_outcome::not_sent || state_.retries.try_spend(service_->id);
+    if (outcome == attempt_outcome::not_sent) {
+        return true;
+    }
+    if (!state_.retries.try_spend(service_->id)) {
+        return false;
+    }
+    state_.metrics.on_retry(service_->id);
+    if (progress_.has_begun) {
+        state_.metrics.on_resume(service_->id);
+    }
+    return true;
 }
 
 void proxied_call::follow(next_step step, attempt_outcome outcome) {
@@ -521,6 +532,8 @@
 
 void proxied_call::finish(const log_event& event, int status, std::string_view cause) {
     const auto alive = shared_from_this();
+    state_.metrics.on_call(service_ != nullptr ? service_->id : service_id(), event.name, cause,
+                           state_.time.now() - request_.began);
     state_.log.write(event, {{"id", request_.fields.attempt},
                              {"route", route_.id.str()},
                              {"service", service_ != nullptr ? service_->id.str() : "-"},
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -80,6 +80,8 @@
     call_progress progress_;
     std::vector<backend_server_id> tried_;
     bool is_counted_ = false;
+    /// How the last attempt ended; before the first, as if none had run.
+    attempt_outcome last_outcome_ = attempt_outcome::not_run;
     /// What the log line of a failed attempt says.
     std::string last_cause_;
 
--- /dev/null
+++ b/src/node/serving_metrics.cc
@@ -0,0 +1,89 @@
+#include "node/serving_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace jujubetide {
+namespace {
+
+/// Bounds of the latency histograms, in seconds: from one plain call to the longest stream.
+const prometheus::Histogram::BucketBoundaries latency_bounds = {0.01, 0.025, 0.05, 0.1, 0.2, 0.35,
+                                                                0.5,  0.8,   1.2,  2.0, 4.0, 15.0};
+
+double seconds(micros duration) {
+    return std::chrono::duration<double>(duration).count();
+}
+
+prometheus::Family<prometheus::Counter>& counter(prometheus::Registry& registry, const char* name,
+                                                 const char* help) {
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Histogram>& histogram(prometheus::Registry& registry,
+                                                     const char* name, const char* help) {
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+} // namespace
+
+serving_metrics::serving_metrics()
+    : calls_(counter(registry_, "jujubetide_calls_total",
+                     "Calls by service, outcome and cause of a refusal or failure.")),
+      attempts_(counter(registry_, "jujubetide_failed_attempts_total",
+                        "Attempts without an answer to pass on, by service and outcome.")),
+      retries_(counter(registry_, "jujubetide_retries_total",
+                       "Attempts that counted against the retry budget, by service.")),
+      resumes_(counter(registry_, "jujubetide_resumed_streams_total",
+                       "Streams that went on at another server, by service.")),
+      durations_(histogram(registry_, "jujubetide_call_seconds",
+                           "Time to the end of a call, by service and outcome.")),
+      first_events_(histogram(registry_, "jujubetide_first_event_seconds",
+                              "Time from the sending of an attempt to its first event.")),
+      state_(prometheus::BuildGauge()
+                 .Name("jujubetide_node")
+                 .Help("The node's state, by field.")
+                 .Register(registry_)) {}
+
+void serving_metrics::on_call(const service_id& service, std::string_view outcome,
+                              std::string_view cause, micros duration) {
+    calls_
+        .Add({{"service", service.str()},
+              {"outcome", std::string(outcome)},
+              {"cause", std::string(cause)}})
+        .Increment();
+    durations_.Add({{"service", service.str()}, {"outcome", std::string(outcome)}}, latency_bounds)
+        .Observe(seconds(duration));
+}
+
+void serving_metrics::on_attempt(const service_id& service, std::string_view outcome) {
+    attempts_.Add({{"service", service.str()}, {"outcome", std::string(outcome)}}).Increment();
+}
+
+void serving_metrics::on_retry(const service_id& service) {
+    retries_.Add({{"service", service.str()}}).Increment();
+}
+
+void serving_metrics::on_resume(const service_id& service) {
+    resumes_.Add({{"service", service.str()}}).Increment();
+}
+
+void serving_metrics::on_first_event(const service_id& service, micros after) {
+    first_events_.Add({{"service", service.str()}}, latency_bounds).Observe(seconds(after));
+}
+
+std::string serving_metrics::text(const snapshot& now) {
+    const auto set = [this](const char* field, double value) {
+        state_.Add({{"field", field}}).Set(value);
+    };
+    set("config_version", static_cast<double>(now.config_version));
+    set("running_calls", static_cast<double>(now.running_calls));
+    set("caller_connections", static_cast<double>(now.caller_connections));
+    set("servers", static_cast<double>(now.servers));
+    set("live_peers", static_cast<double>(now.live_peers));
+    set("holds_duties", now.holds_duties ? 1.0 : 0.0);
+    set("config_away", now.config_away ? 1.0 : 0.0);
+    set("registry_away", now.registry_away ? 1.0 : 0.0);
+    set("server_connections_made", static_cast<double>(now.server_connections_made));
+    return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/serving_metrics.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "jujubetide/base/ids.h"
+#include "jujubetide/base/units.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <cstdint>
+#include <string>
+
+namespace jujubetide {
+
+/// Counters and histograms of one node.
+class serving_metrics {
+public:
+    serving_metrics();
+
+    /// A call got its final answer, or its caller left.
+    void on_call(const service_id& service, std::string_view outcome, std::string_view cause,
+                 micros duration);
+    /// An attempt ended without an answer that can be passed on.
+    void on_attempt(const service_id& service, std::string_view outcome);
+    /// Another attempt was sent after one that may count against the retry budget.
+    void on_retry(const service_id& service);
+    /// A stream goes on at another server.
+    void on_resume(const service_id& service);
+    void on_first_event(const service_id& service, micros after);
+
+    /// What is measured only when it is asked for.
+    struct snapshot {
+        std::uint64_t config_version = 0;
+        std::size_t running_calls = 0;
+        std::size_t caller_connections = 0;
+        std::size_t servers = 0;
+        std::size_t live_peers = 0;
+        bool holds_duties = false;
+        bool config_away = false;
+        bool registry_away = false;
+        std::uint64_t server_connections_made = 0;
+    };
+    /// All metrics as text, in the usual format of Prometheus.
+    [[nodiscard]] std::string text(const snapshot& now);
+
+private:
+    prometheus::Registry registry_;
+    prometheus::Family<prometheus::Counter>& calls_;
+    prometheus::Family<prometheus::Counter>& attempts_;
+    prometheus::Family<prometheus::Counter>& retries_;
+    prometheus::Family<prometheus::Counter>& resumes_;
+    prometheus::Family<prometheus::Histogram>& durations_;
+    prometheus::Family<prometheus::Histogram>& first_events_;
+    prometheus::Family<prometheus::Gauge>& state_;
+};
+
+} // namespace jujubetide
--- a/src/node/serving_state.h
+++ b/src/node/serving_state.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "node/serving_metrics.h"
+
 #include "jujubetide/base/clock.h"
 #include "jujubetide/base/log.h"
 #include "jujubetide/base/random_source.h"
@@ -54,6 +56,7 @@
     usage_ledger usage;
     demand_meter demand;
     retry_budget retries;
+    serving_metrics metrics;
     /// Nodes that share the limits, this one included.
     std::size_t nodes = 1;
     bool stopping = false;
