--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -181,6 +181,7 @@
         return;
     }
     if (is_hopeless(*choice) && !progress_.may_have_run) {
+        choice_ = *choice; // For the log line.
         refuse("too_late", choice->first_event - route_.target);
         return;
     }
