--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -60,6 +60,8 @@
 struct node_fixture {
     node_fixture();
     ~node_fixture();
+    node_fixture(const node_fixture&) = delete;
+    node_fixture& operator=(const node_fixture&) = delete;
 
     /// Puts a configuration with these fields of the routes `/once/`, `/often/`, `/stream/` and
     /// `/resumed/` in force and waits for it.
