--- a/src/http1/message_parser.cc
+++ b/src/http1/message_parser.cc
@@ -18,7 +18,7 @@
     std::string value;
     bool value_begun = false;
 
-    static native& of(http_parser* parser) { return *static_cast<native*>(parser->data); }
+    static native& of(http_parser* library) { return *static_cast<native*>(library->data); }
 
     void end_field() {
         if (name.empty()) {
@@ -89,11 +89,11 @@
     }
 
     /// Whether a response without a length lasts until the connection is closed.
-    static bool lasts_until_close(const http_parser* parser) {
+    static bool lasts_until_close(const http_parser* library) {
         constexpr int informational = 100;
         constexpr int no_content = 204;
         constexpr int not_modified = 304;
-        const auto status = static_cast<int>(parser->status_code);
+        const auto status = static_cast<int>(library->status_code);
         return status / 100 != informational / 100 && status != no_content &&
                status != not_modified;
     }
@@ -102,12 +102,12 @@
         static const http_parser_settings settings = [] {
             http_parser_settings made;
             http_parser_settings_init(&made);
-            made.on_url = [](http_parser* parser, const char* at, std::size_t length) {
-                of(parser).request.target.append(at, length);
+            made.on_url = [](http_parser* library, const char* at, std::size_t length) {
+                of(library).request.target.append(at, length);
                 return 0;
             };
-            made.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
-                native& self = of(parser);
+            made.on_header_field = [](http_parser* library, const char* at, std::size_t length) {
+                native& self = of(library);
                 if (self.owner->head_complete_) {
                     return 0; // A trailer; none is passed on.
                 }
@@ -117,24 +117,24 @@
                 self.name.append(at, length);
                 return 0;
             };
-            made.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
-                native& self = of(parser);
+            made.on_header_value = [](http_parser* library, const char* at, std::size_t length) {
+                native& self = of(library);
                 if (!self.owner->head_complete_) {
                     self.value_begun = true;
                     self.value.append(at, length);
                 }
                 return 0;
             };
-            made.on_headers_complete = [](http_parser* parser) {
-                return of(parser).head_complete();
+            made.on_headers_complete = [](http_parser* library) {
+                return of(library).head_complete();
             };
-            made.on_body = [](http_parser* parser, const char* at, std::size_t length) {
-                of(parser).owner->events_.on_body({at, length});
+            made.on_body = [](http_parser* library, const char* at, std::size_t length) {
+                of(library).owner->events_.on_body({at, length});
                 return 0;
             };
-            made.on_message_complete = [](http_parser* parser) {
-                of(parser).owner->state_ = parse_state::complete;
-                http_parser_pause(parser, 1);
+            made.on_message_complete = [](http_parser* library) {
+                of(library).owner->state_ = parse_state::complete;
+                http_parser_pause(library, 1);
                 return 0;
             };
             return made;
--- a/tests/serving/engine_placement_test.cc
+++ b/tests/serving/engine_placement_test.cc
@@ -29,6 +29,7 @@
 
 std::vector<const backend_server*> pointers_to(const std::vector<backend_server>& servers) {
     std::vector<const backend_server*> list;
+    list.reserve(servers.size());
     for (const backend_server& server : servers) {
         list.push_back(&server);
     }
--- a/tests/support/blocking_peer.cc
+++ b/tests/support/blocking_peer.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -13,7 +14,9 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    ::bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
+    if (::bind(listener_, reinterpret_cast<sockaddr*>(&address), size) != 0) {
+        throw std::runtime_error("cannot bind a port of the loopback address");
+    }
     ::listen(listener_, 1);
     ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
     port_ = ntohs(address.sin_port);
@@ -63,7 +66,9 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(to.port);
     ::inet_pton(AF_INET, to.address.c_str(), &address.sin_addr);
-    ::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    if (::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+        throw std::runtime_error("cannot connect to " + to.str());
+    }
     return socket;
 }
 
