Bound what nodes save up for retries by their share of the users' slack

Cause: each node could save up 20 retries for a service, 140 over seven nodes, where the users allow 54 beyond a fifth of the requests. Change: the cap follows the number of nodes; severity words stand in one place; two unused functions are gone.

--- a/include/jujubetide/base/log.h
+++ b/include/jujubetide/base/log.h
@@ -9,6 +9,9 @@
 
 enum class log_severity { debug, info, warning, error };
 
+/// The word for a severity in log lines.
+std::string_view severity_word(log_severity severity);
+
 /// A kind of log line. Each subsystem declares its own in `src/<subsystem>/<subsystem>_events.h`;
 /// docs/EVENTS.md lists all of them by number.
 struct log_event {
--- a/include/jujubetide/serving/demand_meter.h
+++ b/include/jujubetide/serving/demand_meter.h
@@ -12,8 +12,7 @@
 class demand_meter {
 public:
     void add(const service_id& service, double server_seconds, time_point now);
-    /// Mean number of servers that the calls keep busy.
-    [[nodiscard]] double servers_needed(const service_id& service, time_point now) const;
+    /// Mean number of servers that each service's calls keep busy.
     [[nodiscard]] std::map<service_id, double> all(time_point now) const;
 
 private:
--- a/include/jujubetide/serving/serving_config.h
+++ b/include/jujubetide/serving/serving_config.h
@@ -131,7 +131,6 @@
     [[nodiscard]] const serving_route* find_route(std::string_view host,
                                                   std::string_view target) const;
     [[nodiscard]] const serving_service* find_service(const service_id& id) const;
-    [[nodiscard]] const serving_customer* find_customer(const customer_id& id) const;
     /// The holder of a key, or null.
     [[nodiscard]] const serving_customer* find_key(std::string_view key) const;
 
--- a/src/edge/json_log.cc
+++ b/src/edge/json_log.cc
@@ -13,20 +13,6 @@
 /// Lines are written together from this many bytes on, or by `flush`.
 constexpr std::size_t write_bytes = std::size_t{8} * 1024;
 
-const char* to_word(log_severity severity) {
-    switch (severity) {
-    case log_severity::debug:
-        return "debug";
-    case log_severity::info:
-        return "info";
-    case log_severity::warning:
-        return "warning";
-    case log_severity::error:
-        return "error";
-    }
-    return "error";
-}
-
 } // namespace
 
 json_log::json_log(std::string node, const clock& time, json_log_options options)
@@ -48,7 +34,7 @@
     nlohmann::ordered_json line;
     line["t"] = clock_.wall_now().time_since_epoch().count();
     line["node"] = node_;
-    line["level"] = to_word(event.severity);
+    line["level"] = severity_word(event.severity);
     line["event"] = event.number;
     line["name"] = event.name;
     for (const log_field& field : fields) {
--- a/src/edge/process_log.cc
+++ b/src/edge/process_log.cc
@@ -39,20 +39,6 @@
     el::Loggers::reconfigureLogger(logger_name, settings);
 }
 
-std::string_view to_word(log_severity severity) {
-    switch (severity) {
-    case log_severity::debug:
-        return "debug";
-    case log_severity::info:
-        return "info";
-    case log_severity::warning:
-        return "warning";
-    case log_severity::error:
-        return "error";
-    }
-    return "error";
-}
-
 std::string quote_if_needed(const std::string& value) {
     if (value.find_first_of(" \"\n=") == std::string::npos) {
         return value;
@@ -75,7 +61,7 @@
     }
     std::string line = program_;
     line += ' ';
-    line += to_word(event.severity);
+    line += severity_word(event.severity);
     absl::StrAppend(&line, " JT", event.number, " ");
     line += event.name;
     for (const log_field& field : fields) {
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -192,6 +192,7 @@
     }
     state_.nodes = peers_.size() + 1;
     state_.caps.set_nodes(heard, state_.nodes);
+    state_.retries.set_max(retry_budget::share_of(state_.settings.retry_slack, state_.nodes));
 }
 
 void peer_exchange::do_table(const std::vector<stored_row>& rows) {
--- a/src/serving/demand_meter.cc
+++ b/src/serving/demand_meter.cc
@@ -22,12 +22,6 @@
     of.updated = now;
 }
 
-double demand_meter::servers_needed(const service_id& service, time_point now) const {
-    const auto found = services_.find(service);
-    return found == services_.end() ? 0.0
-                                    : found->second.rate * kept_part(found->second.updated, now);
-}
-
 std::map<service_id, double> demand_meter::all(time_point now) const {
     std::map<service_id, double> result;
     for (const auto& [service, of] : services_) {
--- a/src/serving/serving_config.cc
+++ b/src/serving/serving_config.cc
@@ -52,15 +52,6 @@
     return nullptr;
 }
 
-const serving_customer* serving_config::find_customer(const customer_id& id) const {
-    for (const serving_customer& customer : parts_.customers) {
-        if (customer.id == id) {
-            return &customer;
-        }
-    }
-    return nullptr;
-}
-
 const serving_customer* serving_config::find_key(std::string_view key) const {
     const auto found = keys_.find(std::string(key));
     return found == keys_.end() ? nullptr : &parts_.customers[found->second];
