--- a/tests/node/peer_exchange_test.cc
+++ b/tests/node/peer_exchange_test.cc
@@ -38,9 +38,11 @@
         digest.node = node_id(name);
         digest.start = incarnation(1);
         digest.is_ready = true;
+        const service_id marker("digest-" + std::to_string(++digests));
+        digest.demand[marker] = 1.0;
         const auto socket = *udp_socket::make(loop, {"127.0.0.1", 0}, [](std::string_view) {});
         socket->send({"127.0.0.1", own_port}, encode(digest));
-        run_for(loop, millis{20});
+        REQUIRE(run_until(loop, [&] { return peers->total_demand().contains(marker); }));
     }
     void advance(millis step) {
         for (millis done{0}; done < step; done += millis{50}) {
@@ -57,6 +59,7 @@
     }
 
     static constexpr std::uint16_t own_port = 29'017;
+    int digests = 0;
     event_loop loop;
     manual_timer_service timers;
     manual_clock time;
