Let a few nodes follow the store's tables for all

Ruled out: longer waits alone; the calls follow the changes, not the waits. Passing rows on in datagrams: they get lost and have no order.

Change: the three largest hosts that the store answers follow the registrations and the nodes; the others fetch what changed after their version from a peer whose digest tells of a newer change. The configuration is still followed by each node, with a long wait for all but the readers. A table that lags behind a peer's for half a second comes from that peer too, since the connection to the store may be dead without a sign. After a failure the next call does not wait, so that a return is noticed at once. Rows keep their removals for that.

Conclusion: calls no longer grow with nodes times changes; to be measured.

--- a/include/jujubetide/store/table_follower.h
+++ b/include/jujubetide/store/table_follower.h
@@ -16,8 +16,8 @@
 class table_observer {
 public:
     virtual ~table_observer() = default;
-    /// The whole table was read; it replaces everything before.
-    void on_table(const std::vector<stored_row>& rows) { do_table(rows); }
+    /// The whole table as of version `at` of the store; it replaces everything before.
+    void on_table(const std::vector<stored_row>& rows, row_version at) { do_table(rows, at); }
     void on_changes(const std::vector<stored_row>& rows) { do_changes(rows); }
     /// The store stopped answering for this table.
     void on_away(const absl::Status& why) { do_away(why); }
@@ -28,7 +28,7 @@
     table_observer() = default;
     table_observer(const table_observer&) = default;
     table_observer& operator=(const table_observer&) = default;
-    virtual void do_table(const std::vector<stored_row>& rows) = 0;
+    virtual void do_table(const std::vector<stored_row>& rows, row_version at) = 0;
     virtual void do_changes(const std::vector<stored_row>& rows) = 0;
     virtual void do_away(const absl::Status&) {}
     virtual void do_back() {}
@@ -46,7 +46,8 @@
 };
 
 /// Keeps an observer up to date with one table: reads it, then asks for changes, and reads it again
-/// when the history is gone. Runs on an event loop.
+/// when the history is gone. While it does not follow the store, its observer learns only what the
+/// follower is made to adopt. Runs on an event loop.
 class table_follower {
 public:
     /// What is passed in must outlive the follower.
@@ -54,19 +55,30 @@
                    random_source& random, std::string table, table_observer& observer,
                    follower_options options = {});
 
+    /// Reads the table, and goes on to ask for changes while it is to follow the store.
     void start();
+    /// Whether to ask the store for changes; true at first.
+    void set_following(bool follows);
+    /// How long the store may hold the next calls back, and the bound of waits after failures.
+    void set_pace(millis wait, micros longest_retry);
 
     /// Takes the whole table as another follower of the same store knows it, if that is newer.
     bool adopt(const row_batch& batch);
+    /// Takes what changed after the version `after`, as another follower knows it, if nothing is
+    /// missed by that.
+    bool adopt_changes(const row_batch& batch, row_version after);
 
     /// The version up to which the observer knows the table.
     [[nodiscard]] row_version at() const { return at_; }
     [[nodiscard]] bool is_loaded() const { return loaded_; }
-    [[nodiscard]] bool is_away() const { return away_; }
+    [[nodiscard]] bool is_following() const { return following_; }
+    /// The store did not answer the last call of a follower that follows it.
+    [[nodiscard]] bool is_away() const { return following_ && away_; }
 
 private:
     void read(const std::string& from);
     void on_read(const std::string& from, absl::StatusOr<row_batch> batch);
+    void go_on();
     void ask();
     void on_answer(absl::StatusOr<row_batch> batch);
     void failed(const absl::Status& why);
@@ -85,6 +97,9 @@
     std::vector<stored_row> pages_;
     row_version pages_at_;
     row_version at_;
+    bool following_ = true;
+    /// A call to the store runs.
+    bool calling_ = false;
     bool loaded_ = false;
     bool reload_ = true;
     bool away_ = false;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -9,6 +9,7 @@
 #include "node/row_mirror.h"
 #include "node/server_scaler.h"
 #include "node/serving_state.h"
+#include "node/store_feeds.h"
 #include "node/table_watches.h"
 #include "node/usage_reporter.h"
 
@@ -38,8 +39,8 @@
 /// How often rows of dead nodes are looked for.
 constexpr micros dead_row_period{5'000'000};
 
-/// Servers register and renew often; the others' changes must arrive at once.
-constexpr micros registration_interval{250'000};
+/// Rows of servers and nodes change often; the configuration's must arrive at once.
+constexpr micros shared_table_interval{250'000};
 
 http1_limits limits_of(const caller_limits& from, std::size_t max_descriptors) {
     http1_limits limits;
@@ -53,9 +54,9 @@
     return limits;
 }
 
-follower_options registration_options() {
+follower_options shared_table_options() {
     follower_options options;
-    options.least_interval = registration_interval;
+    options.least_interval = shared_table_interval;
     return options;
 }
 
@@ -74,7 +75,7 @@
                           config_mirror),
           registration_follower(from.store, from.loop, from.time, from.random,
                                 from.tables.registration_table, registration_mirror,
-                                registration_options()) {}
+                                shared_table_options()) {}
 
     void on_config() {
         callers->set_limits(limits_of(state.config->limits(), state.settings.max_descriptors));
@@ -91,7 +92,9 @@
     table_follower config_follower;
     table_follower registration_follower;
     std::unique_ptr<peer_exchange> peers;
+    std::unique_ptr<row_mirror> peer_mirror;
     std::unique_ptr<table_follower> peer_follower;
+    std::unique_ptr<store_feeds> feeds;
     std::unique_ptr<peer_service> peer_answers;
     std::unique_ptr<duty_lease> lease;
     std::unique_ptr<usage_reporter> usage;
@@ -118,20 +121,28 @@
         return peers.status();
     }
     parts->peers = *std::move(peers);
+    parts->peer_mirror = std::make_unique<row_mirror>(*parts->peers);
     parts->peer_follower = std::make_unique<table_follower>(
-        from.store, from.loop, from.time, from.random, peer_exchange::table, *parts->peers);
+        from.store, from.loop, from.time, from.random, peer_exchange::table, *parts->peer_mirror,
+        shared_table_options());
     auto peer_answers = peer_service::make(
         parts->state, *parts->peers,
         {{from.tables.config_table, parts->config_follower, parts->config_mirror},
-         {from.tables.registration_table, parts->registration_follower,
-          parts->registration_mirror}});
+         {from.tables.registration_table, parts->registration_follower, parts->registration_mirror},
+         {peer_exchange::table, *parts->peer_follower, *parts->peer_mirror}});
     if (!peer_answers.ok()) {
         return peer_answers.status();
     }
     parts->peer_answers = *std::move(peer_answers);
     parts->peers->set_table_versions([all = parts.get()] {
-        return std::vector<row_version>{all->config_follower.at(), all->registration_follower.at()};
+        return std::vector<row_version>{all->config_mirror.changed_at(),
+                                        all->registration_mirror.changed_at(),
+                                        all->peer_mirror->changed_at()};
     });
+    parts->peers->on_digest([service = parts->peer_answers.get()] { service->look(); });
+    parts->feeds = std::make_unique<store_feeds>(
+        parts->state, *parts->peers, parts->config_follower,
+        std::vector{&parts->registration_follower, parts->peer_follower.get()});
     parts->lease = std::make_unique<duty_lease>(parts->state, from.store, *parts->peers);
     parts->usage = std::make_unique<usage_reporter>(parts->state, from.store, *parts->peers,
                                                     *parts->lease, from.calls);
@@ -155,6 +166,7 @@
                     {{"failure_domain", state.settings.failure_domain.str()},
                      {"callers", state.settings.callers.str()},
                      {"start", std::to_string(parts_->peers->start_number().value())}});
+    parts_->feeds->start();
     parts_->config_follower.start();
     parts_->registration_follower.start();
     parts_->peers->start();
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -18,6 +18,8 @@
 inline constexpr log_event table_away{7022, log_severity::warning, "table_away"};
 inline constexpr log_event table_back{7023, log_severity::info, "table_back"};
 inline constexpr log_event table_from_peer{7024, log_severity::info, "table_from_peer"};
+inline constexpr log_event feeds_followed{7025, log_severity::info, "feeds_followed"};
+inline constexpr log_event feeds_left{7026, log_severity::info, "feeds_left"};
 inline constexpr log_event server_seen{7030, log_severity::info, "server_seen"};
 inline constexpr log_event server_leaving{7031, log_severity::info, "server_leaving"};
 inline constexpr log_event server_vanished{7032, log_severity::info, "server_vanished"};
--- a/src/node/peer_digest.cc
+++ b/src/node/peer_digest.cc
@@ -10,7 +10,7 @@
 using json = nlohmann::json;
 
 /// First element of each digest; changes with the format.
-constexpr int digest_format = 1;
+constexpr int digest_format = 2;
 
 } // namespace
 
@@ -43,13 +43,23 @@
     for (const auto& [service, servers] : digest.demand) {
         demand.push_back({service.str(), static_cast<float>(servers)});
     }
-    const json body = {digest_format,        digest.node.str(),
-                       digest.start.value(), digest.is_ready,
-                       digest.is_leaving,    std::move(versions),
-                       digest.knows_usage,   digest.holds_duties,
-                       digest.lease_record,  digest.lease_version.value(),
-                       std::move(spending),  std::move(usage),
-                       std::move(loads),     std::move(demand),
+    const json body = {digest_format,
+                       digest.node.str(),
+                       digest.start.value(),
+                       digest.is_ready,
+                       digest.is_leaving,
+                       digest.cores,
+                       digest.reaches_store,
+                       digest.follows_tables,
+                       std::move(versions),
+                       digest.knows_usage,
+                       digest.holds_duties,
+                       digest.lease_record,
+                       digest.lease_version.value(),
+                       std::move(spending),
+                       std::move(usage),
+                       std::move(loads),
+                       std::move(demand),
                        std::move(readings)};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
@@ -67,6 +77,9 @@
         digest.start = incarnation(body.at(at++).get<std::uint64_t>());
         digest.is_ready = body.at(at++).get<bool>();
         digest.is_leaving = body.at(at++).get<bool>();
+        digest.cores = body.at(at++).get<double>();
+        digest.reaches_store = body.at(at++).get<bool>();
+        digest.follows_tables = body.at(at++).get<bool>();
         for (const json& one : body.at(at++)) {
             digest.table_versions.emplace_back(one.get<std::uint64_t>());
         }
--- a/src/node/peer_digest.h
+++ b/src/node/peer_digest.h
@@ -22,7 +22,13 @@
     incarnation start;
     bool is_ready = false;
     bool is_leaving = false;
-    /// Versions of the shared tables that the node knows, in the tables' order.
+    /// Capacity of the node's host, in cores.
+    double cores = 1.0;
+    /// The store answers the node.
+    bool reaches_store = true;
+    /// The node follows the store's tables and can pass their changes on.
+    bool follows_tables = false;
+    /// Newest changes of the shared tables that the node knows, in the tables' order.
     std::vector<row_version> table_versions;
     /// The node knows the usage counts from before its start.
     bool knows_usage = false;
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -1,6 +1,7 @@
 #include "node/peer_exchange.h"
 
 #include "node/node_events.h"
+#include "node/table_readers.h"
 
 #include <nlohmann/json.hpp>
 
@@ -16,6 +17,8 @@
 constexpr micros lately{5'000'000};
 /// The row of a node that was not heard for this long is removed; if it lives it writes it again.
 constexpr micros row_lifetime{20'000'000};
+/// Shortest time between two digests.
+constexpr micros least_digest_interval{100'000};
 /// Wait before the own row is written again after a failure.
 constexpr micros row_retry{500'000};
 
@@ -109,12 +112,31 @@
     return state_.config != nullptr && !state_.stopping;
 }
 
+void peer_exchange::set_store_access(bool reaches, bool follows) {
+    reaches_store_ = reaches;
+    follows_tables_ = follows;
+}
+
+void peer_exchange::tell_soon() {
+    const micros since = state_.time.now() - told_;
+    if (since >= least_digest_interval) {
+        tell();
+    } else {
+        soon_timer_ = state_.timers.once(least_digest_interval - since, [this] { tell(); });
+    }
+}
+
 void peer_exchange::tell() {
+    told_ = state_.time.now();
+    soon_timer_.reset();
     peer_digest digest;
     digest.node = state_.settings.node;
     digest.start = start_;
     digest.is_ready = is_ready();
     digest.is_leaving = state_.stopping;
+    digest.cores = state_.settings.cores;
+    digest.reaches_store = reaches_store_;
+    digest.follows_tables = follows_tables_;
     if (table_versions_) {
         digest.table_versions = table_versions_();
     }
@@ -154,6 +176,9 @@
     from.heard = now;
     from.is_ready = digest->is_ready;
     from.is_leaving = digest->is_leaving;
+    from.cores = digest->cores;
+    from.reaches_store = digest->reaches_store;
+    from.follows_tables = digest->follows_tables;
     from.holds_duties = digest->holds_duties;
     from.knows_usage = digest->knows_usage;
     from.table_versions = digest->table_versions;
@@ -171,6 +196,9 @@
     for (const prefix_reading& one : digest->readings) {
         state_.prompts.on_read(one.key, one.server, now);
     }
+    if (digest_taken_) {
+        digest_taken_();
+    }
 }
 
 bool peer_exchange::lives(const peer& one) const {
@@ -195,7 +223,7 @@
     state_.retries.set_max(retry_budget::share_of(state_.settings.retry_slack, state_.nodes));
 }
 
-void peer_exchange::do_table(const std::vector<stored_row>& rows) {
+void peer_exchange::do_table(const std::vector<stored_row>& rows, row_version) {
     for (auto& [node, one] : peers_) {
         one.row_gone = true;
     }
@@ -288,12 +316,30 @@
 }
 
 std::optional<endpoint> peer_exchange::peer_with_newer(std::size_t index, row_version than) const {
+    std::vector<endpoint> newer;
     for (const auto& [node, one] : peers_) {
         if (lives(one) && index < one.table_versions.size() && one.table_versions[index] > than) {
-            return one.record.peers;
+            newer.push_back(one.record.peers);
+        }
+    }
+    return newer.empty() ? std::nullopt : std::optional(newer[state_.random.below(newer.size())]);
+}
+
+bool peer_exchange::is_table_reader() const {
+    std::vector<table_reader_candidate> others;
+    for (const auto& [node, one] : peers_) {
+        if (lives(one) && !one.is_leaving) {
+            others.push_back({node, one.cores, one.reaches_store});
         }
     }
-    return std::nullopt;
+    return is_among_readers({state_.settings.node, state_.settings.cores, reaches_store_}, others);
+}
+
+bool peer_exchange::hears_table_reader() const {
+    return std::any_of(peers_.begin(), peers_.end(), [this](const auto& item) {
+        const peer& one = item.second;
+        return one.follows_tables && one.reaches_store && lives(one) && !one.is_leaving;
+    });
 }
 
 bool peer_exchange::peer_holds_duties() const {
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -54,17 +54,27 @@
     }
     void set_knows_usage(bool knows) { knows_usage_ = knows; }
     [[nodiscard]] bool knows_usage() const { return knows_usage_; }
-    /// What tells the versions of the shared tables for digests.
+    /// What tells of the newest changes of the shared tables for digests.
     void set_table_versions(std::function<std::vector<row_version>()> versions) {
         table_versions_ = std::move(versions);
     }
+    /// What the digests say of the store: whether it answers, and whether this node follows it.
+    void set_store_access(bool reaches, bool follows);
+    /// Tells the peers of a change soon, without waiting for the next digest.
+    void tell_soon();
+    /// Is called after each digest that was taken.
+    void on_digest(std::function<void()> handler) { digest_taken_ = std::move(handler); }
 
     [[nodiscard]] incarnation start_number() const { return start_; }
     /// Where callers may connect now, this node included while it is not leaving.
     [[nodiscard]] std::vector<endpoint> caller_addresses() const;
     /// Where to ask the peer that has run longest and knows the usage counts.
     [[nodiscard]] std::optional<endpoint> oldest_peer() const;
-    /// A peer that knows a newer version of the shared table `index`.
+    /// Whether this node is among the few that are to follow the store's tables for all.
+    [[nodiscard]] bool is_table_reader() const;
+    /// Whether a peer that lives follows the store's tables.
+    [[nodiscard]] bool hears_table_reader() const;
+    /// One of the peers that know a newer change of the shared table `index`.
     [[nodiscard]] std::optional<endpoint> peer_with_newer(std::size_t index,
                                                           row_version than) const;
     /// Whether a peer that lives holds the duty lease.
@@ -79,7 +89,7 @@
     [[nodiscard]] bool is_among_first() const;
 
 protected:
-    void do_table(const std::vector<stored_row>& rows) override;
+    void do_table(const std::vector<stored_row>& rows, row_version at) override;
     void do_changes(const std::vector<stored_row>& rows) override;
 
 private:
@@ -94,6 +104,9 @@
         bool row_gone = false;
         bool is_ready = false;
         bool is_leaving = false;
+        double cores = 1.0;
+        bool reaches_store = true;
+        bool follows_tables = false;
         bool holds_duties = false;
         bool knows_usage = false;
         std::vector<row_version> table_versions;
@@ -116,7 +129,12 @@
     std::optional<lease_row> lease_;
     std::function<void(const lease_row&)> lease_told_;
     bool knows_usage_ = false;
+    bool reaches_store_ = true;
+    bool follows_tables_ = false;
     std::function<std::vector<row_version>()> table_versions_;
+    std::function<void()> digest_taken_;
+    time_point told_{};
+    std::unique_ptr<timer_subscription> soon_timer_;
     bool row_wanted_ = false;
     bool row_pending_ = false;
     std::unique_ptr<timer_subscription> digest_timer_;
--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -59,24 +59,29 @@
     }
 }
 
-std::string encode(const row_batch& batch) {
-    json rows = json::array();
-    for (const stored_row& row : batch.rows) {
-        rows.push_back({row.key, to_binary(row.value), row.version.value()});
+std::string encode(const table_rows& rows) {
+    json list = json::array();
+    for (const stored_row& row : rows.batch.rows) {
+        list.push_back({row.key, to_binary(row.value), row.version.value(), row.removed});
     }
-    return to_bytes({batch.at.value(), std::move(rows)});
+    const json after = rows.changed_after ? json(rows.changed_after->value()) : json();
+    return to_bytes({rows.batch.at.value(), after, std::move(list)});
 }
 
-absl::StatusOr<row_batch> decode_rows(const std::string& bytes) {
+absl::StatusOr<table_rows> decode_rows(const std::string& bytes) {
     try {
         const json body = json::from_msgpack(bytes);
-        row_batch batch;
-        batch.at = row_version(body.at(0).get<std::uint64_t>());
-        for (const json& one : body.at(1)) {
-            batch.rows.push_back({one.at(0).get<std::string>(), to_string(one.at(1)),
-                                  row_version(one.at(2).get<std::uint64_t>()), false});
+        table_rows rows;
+        rows.batch.at = row_version(body.at(0).get<std::uint64_t>());
+        if (!body.at(1).is_null()) {
+            rows.changed_after = row_version(body.at(1).get<std::uint64_t>());
         }
-        return batch;
+        for (const json& one : body.at(2)) {
+            rows.batch.rows.push_back({one.at(0).get<std::string>(), to_string(one.at(1)),
+                                       row_version(one.at(2).get<std::uint64_t>()),
+                                       one.at(3).get<bool>()});
+        }
+        return rows;
     } catch (const json::exception& error) {
         return absl::InvalidArgumentError(absl::StrCat("no rows: ", error.what()));
     }
--- a/src/node/peer_messages.h
+++ b/src/node/peer_messages.h
@@ -5,6 +5,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,7 +15,12 @@
 std::string encode(const std::vector<usage_record>& records);
 absl::StatusOr<std::vector<usage_record>> decode_usage(const std::string& bytes);
 
-std::string encode(const row_batch& batch);
-absl::StatusOr<row_batch> decode_rows(const std::string& bytes);
+/// A table's rows as a node knows them: all of them, or those that changed after a version.
+struct table_rows {
+    row_batch batch;
+    std::optional<row_version> changed_after;
+};
+std::string encode(const table_rows& rows);
+absl::StatusOr<table_rows> decode_rows(const std::string& bytes);
 
 } // namespace jujubetide
--- a/src/node/table_watches.cc
+++ b/src/node/table_watches.cc
@@ -71,7 +71,7 @@
     return *std::move(server);
 }
 
-void registration_watch::do_table(const std::vector<stored_row>& rows) {
+void registration_watch::do_table(const std::vector<stored_row>& rows, row_version) {
     std::vector<backend_server> servers;
     for (const stored_row& row : rows) {
         if (auto server = read(row)) {
--- a/src/node/table_watches.h
+++ b/src/node/table_watches.h
@@ -17,7 +17,7 @@
                  std::function<void()> on_change);
 
 protected:
-    void do_table(const std::vector<stored_row>& rows) override { do_changes(rows); }
+    void do_table(const std::vector<stored_row>& rows, row_version) override { do_changes(rows); }
     void do_changes(const std::vector<stored_row>& rows) override;
     void do_away(const absl::Status& why) override;
     void do_back() override;
@@ -40,7 +40,7 @@
     void expire();
 
 protected:
-    void do_table(const std::vector<stored_row>& rows) override;
+    void do_table(const std::vector<stored_row>& rows, row_version at) override;
     void do_changes(const std::vector<stored_row>& rows) override;
     void do_away(const absl::Status& why) override;
     void do_back() override;
--- a/src/store/table_follower.cc
+++ b/src/store/table_follower.cc
@@ -21,11 +21,13 @@
     if (from.empty()) {
         pages_.clear();
     }
+    calling_ = true;
     store_.read(table_, from,
                 [this, from](absl::StatusOr<row_batch> batch) { on_read(from, std::move(batch)); });
 }
 
 void table_follower::on_read(const std::string& from, absl::StatusOr<row_batch> batch) {
+    calling_ = false;
     if (!batch.ok()) {
         failed(batch.status());
         return;
@@ -41,20 +43,50 @@
         return;
     }
     answered();
-    at_ = pages_at_;
     loaded_ = true;
     reload_ = false;
-    observer_.on_table(std::exchange(pages_, {}));
+    if (pages_at_ >= at_) {
+        at_ = pages_at_;
+        observer_.on_table(std::exchange(pages_, {}), at_);
+    }
     ask();
 }
 
+void table_follower::set_following(bool follows) {
+    if (std::exchange(following_, follows) == follows) {
+        return;
+    }
+    if (follows && !calling_) {
+        go_on();
+    }
+}
+
+void table_follower::set_pace(millis wait, micros longest_retry) {
+    options_.wait = wait;
+    options_.longest_retry = longest_retry;
+}
+
+void table_follower::go_on() {
+    if (reload_ || !loaded_) {
+        read("");
+    } else {
+        ask();
+    }
+}
+
 void table_follower::ask() {
+    if (!following_) {
+        return;
+    }
+    calling_ = true;
     asked_ = clock_.now();
-    store_.changes(table_, at_, options_.wait,
+    // A store that was away answers at once, so that its return is noticed without a change.
+    store_.changes(table_, at_, away_ ? millis{0} : options_.wait,
                    [this](absl::StatusOr<row_batch> batch) { on_answer(std::move(batch)); });
 }
 
 void table_follower::on_answer(absl::StatusOr<row_batch> batch) {
+    calling_ = false;
     if (!batch.ok()) {
         reload_ = reload_ || absl::IsOutOfRange(batch.status());
         if (absl::IsOutOfRange(batch.status())) {
@@ -87,7 +119,16 @@
         return false;
     }
     at_ = batch.at;
-    observer_.on_table(batch.rows);
+    observer_.on_table(batch.rows, at_);
+    return true;
+}
+
+bool table_follower::adopt_changes(const row_batch& batch, row_version after) {
+    if (batch.at <= at_ || after > at_) {
+        return false;
+    }
+    at_ = batch.at;
+    observer_.on_changes(batch.rows);
     return true;
 }
 
@@ -108,10 +149,8 @@
 
 void table_follower::later(micros delay) {
     timer_ = timers_.once(delay, [this] {
-        if (reload_ || !loaded_) {
-            read("");
-        } else {
-            ask();
+        if (!calling_) {
+            go_on();
         }
     });
 }
--- a/tests/node/peer_digest_test.cc
+++ b/tests/node/peer_digest_test.cc
@@ -9,6 +9,9 @@
     digest.node = node_id("n1");
     digest.start = incarnation(7);
     digest.is_ready = true;
+    digest.cores = 0.25;
+    digest.reaches_store = false;
+    digest.follows_tables = true;
     digest.table_versions = {row_version(12), row_version(3)};
     digest.knows_usage = true;
     digest.holds_duties = true;
@@ -25,6 +28,9 @@
     CHECK(read->start == digest.start);
     CHECK(read->is_ready);
     CHECK_FALSE(read->is_leaving);
+    CHECK(read->cores == 0.25);
+    CHECK_FALSE(read->reaches_store);
+    CHECK(read->follows_tables);
     CHECK(read->table_versions == digest.table_versions);
     CHECK(read->knows_usage);
     CHECK(read->holds_duties);
--- /dev/null
+++ b/tests/node/shared_tables_test.cc
@@ -0,0 +1,184 @@
+// Nodes that share the reading of the store's tables, each with its own sockets on one loop.
+#include "node_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+namespace {
+
+/// A node's own way to the common store: passes calls on, or turns them away. Answers that come
+/// after its end are dropped.
+class gated_row_store final : public row_store {
+public:
+    explicit gated_row_store(fake_row_store& to, event_loop& loop) : to_(to), loop_(loop) {}
+    void set_open(bool open) { open_ = open; }
+    [[nodiscard]] int change_calls() const { return change_calls_; }
+
+protected:
+    void do_read(const std::string& table, const std::string& from,
+                 batch_handler handler) override {
+        if (open_) {
+            to_.read(table, from, while_alive(std::move(handler)));
+        } else {
+            turn_away([handler] { handler(absl::UnavailableError("turned away")); });
+        }
+    }
+    void do_changes(const std::string& table, row_version after, millis wait,
+                    batch_handler handler) override {
+        ++change_calls_;
+        if (open_) {
+            to_.changes(table, after, wait, while_alive(std::move(handler)));
+        } else {
+            turn_away([handler] { handler(absl::UnavailableError("turned away")); });
+        }
+    }
+    void do_commit(const row_transaction& transaction, commit_handler handler) override {
+        if (open_) {
+            to_.commit(transaction, while_alive(std::move(handler)));
+        } else {
+            turn_away([handler] { handler(absl::UnavailableError("turned away")); });
+        }
+    }
+
+private:
+    template <class Answer>
+    std::function<void(Answer)> while_alive(std::function<void(Answer)> handler) {
+        return [handler = std::move(handler), alive = std::weak_ptr(alive_)](Answer answer) {
+            if (!alive.expired()) {
+                handler(std::move(answer));
+            }
+        };
+    }
+    void turn_away(std::function<void()> answer) {
+        answers_.push_back(loop_.once(millis{1}, std::move(answer)));
+    }
+
+    fake_row_store& to_;
+    event_loop& loop_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    bool open_ = true;
+    int change_calls_ = 0;
+    std::vector<std::unique_ptr<timer_subscription>> answers_;
+};
+
+struct cluster_member {
+    cluster_member(event_loop& loop, const boot_clock& time, fake_row_store& common, int number)
+        : store(common, loop) {
+        node_settings settings;
+        settings.node = node_id("n" + std::to_string(number));
+        settings.callers = {"127.0.0.1", 0};
+        settings.peers = {"127.0.0.1", static_cast<std::uint16_t>(first_port + number)};
+        made = *node::make(settings, {loop, time, log, random, headers, rows,
+                                      platform::row_codec::tables(), store, calls});
+        made->start();
+    }
+    [[nodiscard]] bool follows() const {
+        return log.count("feeds_followed") > log.count("feeds_left");
+    }
+
+    static constexpr int first_port = 29'040;
+    recorded_log log;
+    seeded_random random{1};
+    platform::call_headers headers;
+    platform::row_codec rows;
+    recorded_fleet_calls calls;
+    gated_row_store store;
+    std::unique_ptr<node> made;
+};
+
+struct cluster_fixture {
+    explicit cluster_fixture(int count) {
+        for (int i = 0; i < count; ++i) {
+            members.push_back(std::make_unique<cluster_member>(loop, time, store, i));
+        }
+        REQUIRE(run_until(loop, [this] { return readers() == 3; }));
+        run_for(loop, millis{600});
+        REQUIRE(readers() == 3);
+    }
+    [[nodiscard]] int readers() const {
+        return static_cast<int>(std::count_if(members.begin(), members.end(),
+                                              [](const auto& one) { return one->follows(); }));
+    }
+    void register_server(const std::string& id, const std::string& state = "ready") {
+        store.put("servers", id,
+                  nlohmann::json{{"service", "plain"},
+                                 {"address", "127.0.0.1:9"},
+                                 {"zone", "z1"},
+                                 {"version", "v1"},
+                                 {"slots", 8},
+                                 {"state", state}}
+                      .dump());
+    }
+    [[nodiscard]] int sum_of(const std::string& event) const {
+        int sum = 0;
+        for (const auto& one : members) {
+            sum += one->log.count(event);
+        }
+        return sum;
+    }
+
+    event_loop loop;
+    boot_clock time;
+    fake_row_store store{loop};
+    std::vector<std::unique_ptr<cluster_member>> members;
+};
+
+/// Within this time of its acceptance a change must be known everywhere.
+constexpr millis longest_spread{2'000};
+
+} // namespace
+
+TEST_CASE("a change reaches every node, though few of them follow the store") {
+    cluster_fixture fixture(8);
+    const int before = fixture.store.change_calls_of_table["servers"];
+    constexpr int changes = 4;
+    for (int i = 1; i <= changes; ++i) {
+        fixture.register_server("i-" + std::to_string(i));
+        CHECK(run_until(
+            fixture.loop, [&] { return fixture.sum_of("server_seen") == 8 * i; }, longest_spread));
+    }
+    fixture.register_server("i-1", "draining");
+    CHECK(run_until(
+        fixture.loop, [&] { return fixture.sum_of("server_leaving") == 8; }, longest_spread));
+    fixture.store.remove("servers", "i-1");
+    CHECK(run_until(
+        fixture.loop, [&] { return fixture.sum_of("server_gone") == 8; }, longest_spread));
+    // Each change ends one waiting call of each reader; some waits end by themselves.
+    CHECK(fixture.store.change_calls_of_table["servers"] - before <= 3 * (changes + 2) + 9);
+}
+
+TEST_CASE("when the nodes that follow the store end, others go on") {
+    cluster_fixture fixture(6);
+    std::erase_if(fixture.members, [](const auto& one) { return one->follows(); });
+    REQUIRE(fixture.members.size() == 3);
+    fixture.register_server("i-1");
+    CHECK(run_until(
+        fixture.loop, [&] { return fixture.sum_of("server_seen") == 3; }, millis{3'000}));
+}
+
+TEST_CASE("when the store turns its followers away, others follow it for them") {
+    cluster_fixture fixture(6);
+    for (const auto& one : fixture.members) {
+        one->store.set_open(!one->follows());
+    }
+    // Noticed by the end of a waiting call.
+    run_for(fixture.loop, millis{3'000});
+    fixture.register_server("i-1");
+    CHECK(run_until(
+        fixture.loop, [&] { return fixture.sum_of("server_seen") == 6; }, longest_spread));
+}
+
+TEST_CASE("a store that is down for all is asked seldom, and followed again on its return") {
+    cluster_fixture fixture(8);
+    fixture.store.set_failure(absl::UnavailableError("down"));
+    run_for(fixture.loop, millis{3'000});
+    const int before = fixture.store.change_calls;
+    run_for(fixture.loop, millis{3'000});
+    // Three readers of three tables at most every 0.8 s, and the others at most every 3 s.
+    CHECK(fixture.store.change_calls - before <= 3 * 3 * 6 + 5 * 2);
+    fixture.store.set_failure(absl::OkStatus());
+    fixture.register_server("i-1");
+    CHECK(run_until(
+        fixture.loop, [&] { return fixture.sum_of("server_seen") == 8; }, millis{2'000}));
+}
--- a/tests/store/table_follower_test.cc
+++ b/tests/store/table_follower_test.cc
@@ -20,7 +20,7 @@
     int backs = 0;
 
 protected:
-    void do_table(const std::vector<stored_row>& all) override {
+    void do_table(const std::vector<stored_row>& all, row_version) override {
         ++tables;
         rows.clear();
         do_changes(all);
@@ -133,3 +133,56 @@
     CHECK_FALSE(fixture.follower.adopt(older));
     CHECK(fixture.seen.rows.size() == 1);
 }
+
+TEST_CASE("a follower that does not follow the store asks it nothing, and misses nothing later") {
+    follower_fixture fixture;
+    fixture.store.put("t", "a", "1");
+    fixture.follower.set_following(false);
+    fixture.follower.start();
+    fixture.advance(millis{10});
+    CHECK(fixture.seen.rows == std::map<std::string, std::string>{{"a", "1"}});
+    fixture.store.put("t", "b", "2");
+    fixture.store.remove("t", "a");
+    fixture.advance(millis{30'000});
+    CHECK(fixture.store.change_calls == 0);
+    fixture.follower.set_following(true);
+    fixture.advance(millis{10});
+    CHECK(fixture.seen.rows == std::map<std::string, std::string>{{"b", "2"}});
+    CHECK(fixture.seen.tables == 1);
+}
+
+TEST_CASE("adopted changes that would leave a gap are not taken") {
+    follower_fixture fixture;
+    fixture.store.put("t", "a", "1");
+    fixture.follower.set_following(false);
+    fixture.follower.start();
+    fixture.advance(millis{10});
+    const row_version at = fixture.follower.at();
+    row_batch batch;
+    batch.at = at + row_version(5);
+    batch.rows.push_back({"b", "2", batch.at, false});
+    CHECK_FALSE(fixture.follower.adopt_changes(batch, at + row_version(2)));
+    CHECK(fixture.follower.adopt_changes(batch, at));
+    CHECK_FALSE(fixture.follower.adopt_changes(batch, at));
+    CHECK(fixture.seen.rows == std::map<std::string, std::string>{{"a", "1"}, {"b", "2"}});
+    CHECK(fixture.follower.at() == batch.at);
+}
+
+TEST_CASE("a follower whose store is away is not away while it does not follow it") {
+    follower_fixture fixture;
+    fixture.follower.start();
+    fixture.advance(millis{10});
+    fixture.store.set_failure(absl::UnavailableError("down"));
+    fixture.advance(millis{1'000});
+    CHECK(fixture.follower.is_away());
+    fixture.follower.set_following(false);
+    CHECK_FALSE(fixture.follower.is_away());
+    const int calls = fixture.store.change_calls;
+    fixture.advance(millis{10'000});
+    CHECK(fixture.store.change_calls <= calls + 1);
+    fixture.store.set_failure(absl::OkStatus());
+    fixture.follower.set_following(true);
+    fixture.advance(millis{2'000});
+    CHECK_FALSE(fixture.follower.is_away());
+    CHECK(fixture.seen.backs == 1);
+}
--- a/tests/support/fake_row_store.h
+++ b/tests/support/fake_row_store.h
@@ -49,6 +49,7 @@
     }
     int reads = 0;
     int change_calls = 0;
+    std::map<std::string, int> change_calls_of_table;
     int commits = 0;
 
 protected:
@@ -71,6 +72,7 @@
     void do_changes(const std::string& table, row_version after, millis wait,
                     batch_handler handler) override {
         ++change_calls;
+        ++change_calls_of_table[table];
         if (!failure_.ok()) {
             answer([handler, failed = failure_] { handler(failed); });
             return;
--- a/tests/support/loop_runner.h
+++ b/tests/support/loop_runner.h
@@ -10,7 +10,7 @@
 /// Runs the loop until `condition()` holds; false when it does not within a limit that only a hang
 /// reaches.
 inline bool run_until(event_loop& loop, const std::function<bool()>& condition,
-                      std::chrono::seconds limit = std::chrono::seconds(30)) {
+                      micros limit = std::chrono::seconds(30)) {
     bool holds = condition();
     const auto looking = loop.every(millis{1}, millis{0}, [&] {
         holds = condition();
