--- a/include/jujubetide/node/node.h
+++ b/include/jujubetide/node/node.h
@@ -50,8 +50,9 @@
 
     /// Whether callers should come here.
     [[nodiscard]] bool is_ready() const;
-    /// Where callers may connect now.
-    [[nodiscard]] std::vector<endpoint> caller_addresses() const;
+    /// Where callers of a failure domain may connect now; at most `max` addresses.
+    [[nodiscard]] std::vector<endpoint> caller_addresses(const failure_domain_id& asker,
+                                                         std::size_t max) const;
     /// How long callers may keep such a list.
     [[nodiscard]] millis directory_lifetime() const;
     /// Counters and histograms as text, in the usual format of Prometheus.
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -16,6 +16,7 @@
 absl::Status run_history(const ctl_arguments& arguments, ctl_environment& environment);
 absl::Status run_audit(const ctl_arguments& arguments, ctl_environment& environment);
 absl::Status run_status(const ctl_arguments& arguments, ctl_environment& environment);
+absl::Status run_explain(const ctl_arguments& arguments, ctl_environment& environment);
 absl::Status run_move_plan(const ctl_arguments& arguments, ctl_environment& environment);
 absl::Status run_move_start(const ctl_arguments& arguments, ctl_environment& environment);
 absl::Status run_move_status(const ctl_arguments& arguments, ctl_environment& environment);
--- a/src/ctl/run_ctl.cc
+++ b/src/ctl/run_ctl.cc
@@ -18,7 +18,7 @@
     command_function run;
 };
 
-constexpr std::array<command_entry, 11> commands{{
+constexpr std::array<command_entry, 12> commands{{
     {"check", "check DIR                          check a directory of settings; no server needed",
      run_check},
     {"plan", "plan DIR                           show what an apply would change", run_plan},
@@ -30,6 +30,8 @@
      run_audit},
     {"status", "status                             where settings are in force, services, backends",
      run_status},
+    {"explain", "explain ID LOGS...                what became of a call; no server needed",
+     run_explain},
     {"move plan", "move plan SERVICE --to V --by T    show whether a move can be done in time",
      run_move_plan},
     {"move start", "move start SERVICE --to V --by T   move traffic to another version",
@@ -40,7 +42,8 @@
 }};
 
 constexpr const char* general_help =
-    "\nEach command has --help. Commands but check need --server ADDRESS:PORT and an operator's\n"
+    "\nEach command has --help. Commands but check and explain need --server ADDRESS:PORT and an "
+    "operator's\n"
     "key, from --key-file FILE or JUJUBETIDE_KEY; --output json prints the answer as JSON.\n"
     "Exit codes: 0 ok, 1 failed, 2 bad input, 3 conflict, 4 refused, 5 unreachable or unknown.\n";
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -232,8 +232,9 @@
     return parts_->state.config != nullptr && !parts_->state.stopping;
 }
 
-std::vector<endpoint> node::caller_addresses() const {
-    return parts_->peers->caller_addresses();
+std::vector<endpoint> node::caller_addresses(const failure_domain_id& asker,
+                                             std::size_t max) const {
+    return select_for_directory(parts_->peers->directory(), asker, max);
 }
 
 millis node::directory_lifetime() const {
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -270,25 +270,25 @@
     one.row_gone = false;
 }
 
-std::vector<endpoint> peer_exchange::caller_addresses() const {
-    std::vector<endpoint> live;
-    std::vector<endpoint> lately_live;
+std::vector<directory_entry> peer_exchange::directory() const {
+    std::vector<directory_entry> live;
+    std::vector<directory_entry> lately_live;
     for (const auto& [node, one] : peers_) {
         if (one.is_leaving || one.row_gone || !one.is_ready) {
             continue;
         }
         if (lives(one)) {
-            live.push_back(one.record.callers);
+            live.push_back({one.record.callers, one.cores});
         } else if (one.heard && state_.time.now() - *one.heard < lately) {
-            lately_live.push_back(one.record.callers);
+            lately_live.push_back({one.record.callers, one.cores});
         }
     }
     // A node that hears nobody is likely cut off itself, rather than all others dead.
-    std::vector<endpoint> addresses = live_peers() == 0 ? lately_live : live;
-    if (is_ready() || addresses.empty()) {
-        addresses.push_back(state_.settings.callers);
+    std::vector<directory_entry> entries = live_peers() == 0 ? lately_live : live;
+    if (is_ready() || entries.empty()) {
+        entries.push_back({state_.settings.callers, state_.settings.cores});
     }
-    return addresses;
+    return entries;
 }
 
 std::size_t peer_exchange::live_peers() const {
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -5,6 +5,7 @@
 
 #include "jujubetide/lease/lease_state.h"
 #include "jujubetide/net/udp_socket.h"
+#include "jujubetide/serving/directory_selection.h"
 #include "jujubetide/store/row_store.h"
 #include "jujubetide/store/table_follower.h"
 
@@ -67,7 +68,7 @@
 
     [[nodiscard]] incarnation start_number() const { return start_; }
     /// Where callers may connect now, this node included while it is not leaving.
-    [[nodiscard]] std::vector<endpoint> caller_addresses() const;
+    [[nodiscard]] std::vector<directory_entry> directory() const;
     /// Where to ask the peer that has run longest and knows the usage counts.
     [[nodiscard]] std::optional<endpoint> oldest_peer() const;
     /// Whether this node is among the few that are to follow the store's tables for all.
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -151,6 +151,7 @@
     query.tried = tried_;
     query.now = state_.time.now();
     const auto candidates = state_.backends.usable(service_->id);
+    candidates_ = candidates.size();
     if (service_->engine) {
         return state_.engines.choose(query, candidates);
     }
@@ -545,6 +546,8 @@
                              {"ms", ms_text(state_.time.now() - request_.began)},
                              {"estimate_ms", ms_text(choice_.first_event)},
                              {"first_event_ms", ms_text(first_event_after_)},
+                             {"target_ms", std::to_string(route_.target.count())},
+                             {"candidates", std::to_string(candidates_)},
                              {"unread_tokens", std::to_string(choice_.unread_tokens)},
                              {"events", std::to_string(events_.events())},
                              {"framing", std::string(name_of(head_.framing))},
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -88,6 +88,8 @@
     // The running attempt.
     std::unique_ptr<http1_call> call_;
     backend_server server_;
+    /// Servers that the last placement could choose from.
+    std::size_t candidates_ = 0;
     placement_choice choice_;
     time_point sent_{};
     time_point last_event_at_{};
--- a/tests/ctl/ctl_test.cc
+++ b/tests/ctl/ctl_test.cc
@@ -239,3 +239,20 @@
         CHECK(run({command, "--version"}).code == exit_code::ok);
     }
 }
+
+TEST_CASE("explain tells what became of a call from the nodes' logs") {
+    const fs::path file =
+        fs::temp_directory_path() / ("jujubectl-log-" + std::to_string(::getpid()));
+    std::ofstream(file) << R"({"t":5,"node":"n1","name":"call_refused","id":"a","status":"429",)"
+                        << R"("cause":"usage_cap"})" << '\n'
+                        << "torn line {\n";
+    const ctl_run text = run({"explain", "a", file.string()});
+    CHECK(text.code == exit_code::ok);
+    CHECK(text.out.find("Refused with 429 at n1") == 0);
+    const ctl_run parsed = run({"explain", "a", file.string(), "--output", "json"});
+    CHECK(json::parse(parsed.out).at("own").size() == 1);
+    CHECK(run({"explain", "unknown", file.string()}).code == exit_code::failed);
+    CHECK(run({"explain", "a", "/nonexistent"}).code == exit_code::failed);
+    CHECK(run({"explain", "a"}).code == exit_code::bad_input);
+    fs::remove(file);
+}
--- a/tests/node/peer_exchange_test.cc
+++ b/tests/node/peer_exchange_test.cc
@@ -52,8 +52,8 @@
     }
     [[nodiscard]] std::set<std::string> named() const {
         std::set<std::string> list;
-        for (const endpoint& one : peers->caller_addresses()) {
-            list.insert(one.address);
+        for (const directory_entry& one : peers->directory()) {
+            list.insert(one.callers.address);
         }
         return list;
     }
