Count store calls, send digests less often among hundreds of nodes, keep warnings when the log stalls

Cause: at 300 nodes each would send and read 1,000 digests a second; calls to the store were not in the metrics; no test stalled the log, and a stalled log dropped refusals like everything else.

Change: with more than a hundred peers a node tells every second, third, ... period, and takes others for dead later by as much; caps know the period. A decorator counts store calls by kind, table and outcome. A quarter of the log's room is kept for warnings. Tests: digests received in nine seconds at 1 and 300 peers, a log whose pipe nobody reads (bounded, counted, warnings kept), calls in time beside it.

--- a/include/jujubetide/edge/json_log.h
+++ b/include/jujubetide/edge/json_log.h
@@ -38,6 +38,7 @@
         std::int64_t second = 0;
         std::uint32_t lines = 0;
     };
+    [[nodiscard]] std::size_t room_for(log_severity severity) const;
     [[nodiscard]] bool is_within_rate(const log_event& event);
     void append_drops();
     void write_waiting();
--- a/include/jujubetide/serving/usage_cap.h
+++ b/include/jujubetide/serving/usage_cap.h
@@ -32,8 +32,11 @@
 /// part of its calls as the bucket holds of that. Not thread-safe.
 class usage_cap {
 public:
-    /// A node that was not heard for this long is taken to spend its even share.
-    static constexpr micros silence_limit{1'300'000};
+    /// A node that was not heard for this long, where all tell once a period, is taken to spend its
+    /// even share: four periods, and the way.
+    static constexpr micros silence_limit_at(micros period) { return 4 * period + micros{100'000}; }
+
+    static constexpr micros usual_period{300'000};
 
     struct decision {
         bool admitted = true;
@@ -56,8 +59,8 @@
     /// Takes what another node has admitted since its start.
     void on_peer_spending(const node_id& node, incarnation start,
                           const std::vector<customer_spending>& spending, time_point now);
-    /// `heard` of `all` nodes, this one included, tell their spending at present.
-    void set_nodes(std::size_t heard, std::size_t all);
+    /// `heard` of `all` nodes, this one included, tell their spending at present, once a `period`.
+    void set_nodes(std::size_t heard, std::size_t all, micros period = usual_period);
 
 private:
     struct bucket {
@@ -96,6 +99,8 @@
     /// Part of the cap that belongs to the nodes that are heard.
     double part_ = 1.0;
     std::size_t nodes_ = 1;
+    /// Longest time in which a node does not know what another has admitted.
+    micros period_ = usual_period;
 };
 
 } // namespace jujubetide
--- a/src/edge/json_log.cc
+++ b/src/edge/json_log.cc
@@ -12,6 +12,9 @@
 
 /// Lines are written together from this many bytes on, or by `flush`.
 constexpr std::size_t write_bytes = std::size_t{8} * 1024;
+/// Quarters of the room that lines of usual events may take; the rest is for warnings, by which
+/// failures are explained.
+constexpr std::size_t usual_quarters = 3;
 
 } // namespace
 
@@ -27,7 +30,7 @@
     if (event.severity < options_.least) {
         return;
     }
-    if (!is_within_rate(event) || waiting_.size() > options_.max_waiting_bytes) {
+    if (!is_within_rate(event) || waiting_.size() > room_for(event.severity)) {
         ++dropped_;
         return;
     }
@@ -47,6 +50,11 @@
     }
 }
 
+std::size_t json_log::room_for(log_severity severity) const {
+    return severity >= log_severity::warning ? options_.max_waiting_bytes
+                                             : options_.max_waiting_bytes / 4 * usual_quarters;
+}
+
 bool json_log::is_within_rate(const log_event& event) {
     const std::int64_t second =
         std::chrono::duration_cast<std::chrono::seconds>(clock_.now().time_since_epoch()).count();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -1,6 +1,7 @@
 #include "jujubetide/node/node.h"
 
 #include "node/caller_front.h"
+#include "node/counted_row_store.h"
 #include "node/duty_lease.h"
 #include "node/node_events.h"
 #include "node/peer_exchange.h"
@@ -69,11 +70,12 @@
 struct node::parts_of_node {
     parts_of_node(const node_settings& settings, const node_dependencies& from)
         : state(settings, from.loop, from.loop, from.time, from.log, from.random, from.codec),
+          store(from.store, state.metrics),
           configs(state, from.decoder, from.tables, [this] { on_config(); }),
           registrations(state, from.decoder, from.tables),
-          config_follower(from.store, from.loop, from.time, from.random, from.tables.config_table,
+          config_follower(store, from.loop, from.time, from.random, from.tables.config_table,
                           config_mirror),
-          registration_follower(from.store, from.loop, from.time, from.random,
+          registration_follower(store, from.loop, from.time, from.random,
                                 from.tables.registration_table, registration_mirror,
                                 shared_table_options()) {}
 
@@ -83,6 +85,7 @@
     void check_stop();
 
     serving_state state;
+    counted_row_store store;
     caller_front front{state};
     std::unique_ptr<http1_server> callers;
     config_watch configs;
@@ -116,14 +119,14 @@
     }
     parts->callers = *std::move(callers);
     parts->state.settings.callers = parts->callers->address();
-    auto peers = peer_exchange::make(parts->state, from.store, start_number(from.time));
+    auto peers = peer_exchange::make(parts->state, parts->store, start_number(from.time));
     if (!peers.ok()) {
         return peers.status();
     }
     parts->peers = *std::move(peers);
     parts->peer_mirror = std::make_unique<row_mirror>(*parts->peers);
     parts->peer_follower = std::make_unique<table_follower>(
-        from.store, from.loop, from.time, from.random, peer_exchange::table, *parts->peer_mirror,
+        parts->store, from.loop, from.time, from.random, peer_exchange::table, *parts->peer_mirror,
         shared_table_options());
     auto peer_answers = peer_service::make(
         parts->state, *parts->peers,
@@ -143,8 +146,8 @@
     parts->feeds = std::make_unique<store_feeds>(
         parts->state, *parts->peers, parts->config_follower,
         std::vector{&parts->registration_follower, parts->peer_follower.get()});
-    parts->lease = std::make_unique<duty_lease>(parts->state, from.store, *parts->peers);
-    parts->usage = std::make_unique<usage_reporter>(parts->state, from.store, *parts->peers,
+    parts->lease = std::make_unique<duty_lease>(parts->state, parts->store, *parts->peers);
+    parts->usage = std::make_unique<usage_reporter>(parts->state, parts->store, *parts->peers,
                                                     *parts->lease, from.calls);
     parts->scaler =
         std::make_unique<server_scaler>(parts->state, *parts->peers, *parts->lease, from.calls);
@@ -252,6 +255,7 @@
     now.holds_duties = parts_->lease->held();
     now.config_away = parts_->config_follower.is_away();
     now.registry_away = parts_->registration_follower.is_away();
+    now.follows_tables = parts_->registration_follower.is_following();
     now.server_connections_made = state.client.connections_made();
     return state.metrics.text(now);
 }
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -69,7 +69,9 @@
     write_own_row();
     digest_timer_ = state_.timers.every(digest_period, digest_period, [this] {
         look();
-        tell();
+        if (++periods_since_told_ >= periods_between()) {
+            tell();
+        }
     });
 }
 
@@ -128,6 +130,7 @@
 
 void peer_exchange::tell() {
     told_ = state_.time.now();
+    periods_since_told_ = 0;
     soon_timer_.reset();
     peer_digest digest;
     digest.node = state_.settings.node;
@@ -201,8 +204,16 @@
     }
 }
 
+int peer_exchange::periods_between() const {
+    return 1 + static_cast<int>(peers_.size() / peers_of_period);
+}
+
+micros peer_exchange::silence_limit() const {
+    return usage_cap::silence_limit_at(digest_period * periods_between());
+}
+
 bool peer_exchange::lives(const peer& one) const {
-    return one.heard && state_.time.now() - *one.heard < silence_limit;
+    return one.heard && state_.time.now() - *one.heard < silence_limit();
 }
 
 void peer_exchange::look() {
@@ -219,7 +230,7 @@
         }
     }
     state_.nodes = peers_.size() + 1;
-    state_.caps.set_nodes(heard, state_.nodes);
+    state_.caps.set_nodes(heard, state_.nodes, digest_period * periods_between());
     state_.retries.set_max(retry_budget::share_of(state_.settings.retry_slack, state_.nodes));
 }
 
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -31,9 +31,13 @@
 class peer_exchange final : public table_observer {
 public:
     static constexpr const char* table = "jujubetide-nodes";
+    /// Between two digests of a node with few peers.
     static constexpr micros digest_period{300'000};
+    /// With more peers than this, digests are sent less often, so that what a node sends and reads
+    /// in a second does not grow with the number of nodes.
+    static constexpr std::size_t peers_of_period = 100;
     /// A node that was not heard for this long counts as dead.
-    static constexpr micros silence_limit = usage_cap::silence_limit;
+    [[nodiscard]] micros silence_limit() const;
 
     /// What is passed in must outlive the exchange.
     static absl::StatusOr<std::unique_ptr<peer_exchange>> make(serving_state& state,
@@ -119,6 +123,8 @@
     void put_row(const stored_row& row);
     void write_own_row();
     void look();
+    /// Periods from one digest to the next.
+    [[nodiscard]] int periods_between() const;
     [[nodiscard]] bool lives(const peer& one) const;
     [[nodiscard]] bool is_ready() const;
 
@@ -135,6 +141,7 @@
     std::function<std::vector<row_version>()> table_versions_;
     std::function<void()> digest_taken_;
     time_point told_{};
+    int periods_since_told_ = 0;
     std::unique_ptr<timer_subscription> soon_timer_;
     bool row_wanted_ = false;
     bool row_pending_ = false;
--- a/src/node/serving_metrics.cc
+++ b/src/node/serving_metrics.cc
@@ -34,6 +34,8 @@
                        "Attempts that counted against the retry budget, by service.")),
       resumes_(counter(registry_, "jujubetide_resumed_streams_total",
                        "Streams that went on at another server, by service.")),
+      store_calls_(counter(registry_, "jujubetide_store_calls_total",
+                           "Calls to the platform's store by kind, table and outcome.")),
       durations_(histogram(registry_, "jujubetide_call_seconds",
                            "Time to the end of a call, by service and outcome.")),
       first_events_(histogram(registry_, "jujubetide_first_event_seconds",
@@ -66,6 +68,13 @@
     resumes_.Add({{"service", service.str()}}).Increment();
 }
 
+void serving_metrics::on_store_call(std::string_view kind, const std::string& table,
+                                    std::string_view outcome) {
+    store_calls_
+        .Add({{"kind", std::string(kind)}, {"table", table}, {"outcome", std::string(outcome)}})
+        .Increment();
+}
+
 void serving_metrics::on_first_event(const service_id& service, micros after) {
     first_events_.Add({{"service", service.str()}}, latency_bounds).Observe(seconds(after));
 }
@@ -82,6 +91,7 @@
     set("holds_duties", now.holds_duties ? 1.0 : 0.0);
     set("config_away", now.config_away ? 1.0 : 0.0);
     set("registry_away", now.registry_away ? 1.0 : 0.0);
+    set("follows_tables", now.follows_tables ? 1.0 : 0.0);
     set("server_connections_made", static_cast<double>(now.server_connections_made));
     return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/src/node/serving_metrics.h
+++ b/src/node/serving_metrics.h
@@ -27,6 +27,8 @@
     void on_retry(const service_id& service);
     /// A stream goes on at another server.
     void on_resume(const service_id& service);
+    /// The store answered a call, or did not.
+    void on_store_call(std::string_view kind, const std::string& table, std::string_view outcome);
     void on_first_event(const service_id& service, micros after);
 
     /// What is measured only when it is asked for.
@@ -39,6 +41,7 @@
         bool holds_duties = false;
         bool config_away = false;
         bool registry_away = false;
+        bool follows_tables = false;
         std::uint64_t server_connections_made = 0;
     };
     /// All metrics as text, in the usual format of Prometheus.
@@ -50,6 +53,7 @@
     prometheus::Family<prometheus::Counter>& attempts_;
     prometheus::Family<prometheus::Counter>& retries_;
     prometheus::Family<prometheus::Counter>& resumes_;
+    prometheus::Family<prometheus::Counter>& store_calls_;
     prometheus::Family<prometheus::Histogram>& durations_;
     prometheus::Family<prometheus::Histogram>& first_events_;
     prometheus::Family<prometheus::Gauge>& state_;
--- a/src/serving/usage_cap.cc
+++ b/src/serving/usage_cap.cc
@@ -14,9 +14,6 @@
 /// everything under a load beyond the cap, and nodes with emptier ones nothing. Less than what a
 /// round itself tells, since the peers' levels do not know of the last calls here.
 constexpr double agreement_of_round = 0.1;
-/// Longest time in which a node does not know what another has admitted, in seconds: the period of
-/// their digests.
-constexpr double longest_ignorance_s = 0.3;
 /// Time constant of the smoothed usage that the others are asked for, in seconds: a few digests.
 constexpr double asked_memory_s = 0.6;
 /// Shortest wait of a refused caller, and where the bucket never fills.
@@ -73,7 +70,7 @@
 }
 
 bool usage_cap::passes_contention(const bucket& own, time_point now) {
-    const double unheard = peers_asked_at(own, now) * longest_ignorance_s;
+    const double unheard = peers_asked_at(own, now) * seconds(period_);
     return own.level >= unheard || random_.uniform() * unheard < own.level;
 }
 
@@ -111,7 +108,7 @@
     peer_counts& peer = peers_[node];
     // What a node admitted before it was first heard has long been refilled, and while it was
     // silent its part was left out of the buckets here.
-    const bool counts = known && now - peer.told < silence_limit;
+    const bool counts = known && now - peer.told < silence_limit_at(period_);
     if (peer.start != start) {
         peer.customers.clear();
     }
@@ -141,7 +138,8 @@
     own.peers_updated = now;
 }
 
-void usage_cap::set_nodes(std::size_t heard, std::size_t all) {
+void usage_cap::set_nodes(std::size_t heard, std::size_t all, micros period) {
+    period_ = period;
     nodes_ = std::max<std::size_t>({1, heard, all});
     part_ = static_cast<double>(std::max<std::size_t>(1, heard)) / static_cast<double>(nodes_);
 }
--- a/tests/node/node_fixture.cc
+++ b/tests/node/node_fixture.cc
@@ -39,6 +39,9 @@
         made.fields[std::string(field.name)] = field.value;
     }
     lines.push_back(std::move(made));
+    if (also_to != nullptr) {
+        also_to->write(event, fields);
+    }
 }
 
 node_fixture::node_fixture() {
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -26,6 +26,8 @@
         std::map<std::string, std::string> fields;
     };
     std::vector<line> lines;
+    /// Another log that gets everything, where set.
+    log_sink* also_to = nullptr;
     [[nodiscard]] int count(const std::string& name) const;
 
 protected:
--- a/tests/node/node_metrics_test.cc
+++ b/tests/node/node_metrics_test.cc
@@ -1,7 +1,13 @@
 #include "node_fixture.h"
 
+#include "jujubetide/edge/json_log.h"
+
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <fcntl.h>
+#include <unistd.h>
+
 using namespace jujubetide;
 
 TEST_CASE("metrics count calls by outcome and cause, and retries") {
@@ -17,4 +23,29 @@
           std::string::npos);
     CHECK(text.find(R"(jujubetide_node{field="servers"} 1)") != std::string::npos);
     CHECK(text.find("jujubetide_call_seconds_bucket") != std::string::npos);
+    CHECK(text.find(R"(jujubetide_store_calls_total{kind="read",outcome="ok",table="op"} 1)") !=
+          std::string::npos);
+}
+
+TEST_CASE("calls are answered in time while nobody reads the log") {
+    node_fixture fixture;
+    fixture.start();
+    fixture.add_server("i-1", "plain", [](scripted_call& call) { answer(call, 200, "ok"); });
+    std::array<int, 2> ends{};
+    REQUIRE(::pipe2(ends.data(), O_NONBLOCK) == 0);
+    json_log_options options;
+    options.descriptor = ends[1];
+    options.max_waiting_bytes = 4'096;
+    json_log stalled("n1", fixture.time, options);
+    fixture.log.also_to = &stalled;
+    constexpr int calls = 300;
+    for (int i = 0; i < calls; ++i) {
+        const time_point began = fixture.time.now();
+        REQUIRE(fixture.call("/often/").head.status == 200);
+        CHECK(fixture.time.now() - began < std::chrono::milliseconds(500)); // The route's target.
+    }
+    CHECK(stalled.dropped() > 0);
+    fixture.log.also_to = nullptr;
+    ::close(ends[0]);
+    ::close(ends[1]);
 }
--- a/tests/node/peer_exchange_test.cc
+++ b/tests/node/peer_exchange_test.cc
@@ -20,13 +20,14 @@
         peers = *peer_exchange::make(*state, store, incarnation(1));
         peers->start();
     }
-    void add_row(const std::string& name, const std::string& callers) {
+    void add_row(const std::string& name, const std::string& callers,
+                 const std::string& peers_at = "127.0.0.1:9") {
         stored_row row;
         row.key = name;
         row.value = nlohmann::json{
             {"start", 1},
             {"callers", callers},
-            {"peers", "127.0.0.1:9"},
+            {"peers", peers_at},
             {"failure_domain",
              "z"}}.dump();
         peers->on_changes({row});
@@ -129,3 +130,27 @@
     fixture.advance(millis{100});
     CHECK(fixture.store.rows(peer_exchange::table).size() == 1);
 }
+
+TEST_CASE("what a node tells in a second does not grow with the number of nodes beyond a hundred") {
+    peers_fixture fixture;
+    constexpr std::uint16_t receiver_port = 29'018;
+    int received = 0;
+    const auto receiver = *udp_socket::make(fixture.loop, {"127.0.0.1", receiver_port},
+                                            [&received](std::string_view) { ++received; });
+    fixture.add_row("receiver", "10.0.0.2:80", "127.0.0.1:29018");
+    const auto told_in = [&](millis time) {
+        const int before = received;
+        fixture.advance(time);
+        run_for(fixture.loop, millis{200});
+        return received - before;
+    };
+    constexpr millis nine_seconds{9'000};
+    CHECK(told_in(nine_seconds) >= 28);
+    for (int i = 0; i < 299; ++i) {
+        fixture.add_row("n" + std::to_string(i + 10), "10.0.1.1:80");
+    }
+    const int of_many = told_in(nine_seconds);
+    CHECK(of_many >= 6);
+    CHECK(of_many <= 9); // 300 peers, each told as often, are no more than 100 each 0.3 s.
+    CHECK(fixture.peers->silence_limit() > micros{3'600'000});
+}
