--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -142,7 +142,7 @@
                                         all->registration_mirror.changed_at(),
                                         all->peer_mirror->changed_at()};
     });
-    parts->peers->on_digest([service = parts->peer_answers.get()] { service->look(); });
+    parts->peers->on_newer_told([service = parts->peer_answers.get()] { service->look(); });
     parts->feeds = std::make_unique<store_feeds>(
         parts->state, *parts->peers, parts->config_follower,
         std::vector{&parts->registration_follower, parts->peer_follower.get()});
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -199,11 +199,22 @@
     for (const prefix_reading& one : digest->readings) {
         state_.prompts.on_read(one.key, one.server, now);
     }
-    if (digest_taken_) {
-        digest_taken_();
+    if (newer_told_ && knows_newer(from)) {
+        newer_told_();
     }
 }
 
+bool peer_exchange::knows_newer(const peer& one) const {
+    const std::vector<row_version> own =
+        table_versions_ ? table_versions_() : std::vector<row_version>();
+    for (std::size_t i = 0; i < own.size() && i < one.table_versions.size(); ++i) {
+        if (one.table_versions[i] > own[i]) {
+            return true;
+        }
+    }
+    return false;
+}
+
 int peer_exchange::periods_between() const {
     return 1 + static_cast<int>(peers_.size() / peers_of_period);
 }
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -67,8 +67,8 @@
     void set_store_access(bool reaches, bool follows);
     /// Tells the peers of a change soon, without waiting for the next digest.
     void tell_soon();
-    /// Is called after each digest that was taken.
-    void on_digest(std::function<void()> handler) { digest_taken_ = std::move(handler); }
+    /// Is called when a peer tells that it knows a newer change of a shared table.
+    void on_newer_told(std::function<void()> handler) { newer_told_ = std::move(handler); }
 
     [[nodiscard]] incarnation start_number() const { return start_; }
     /// Where callers may connect now, this node included while it is not leaving.
@@ -125,6 +125,7 @@
     void look();
     /// Periods from one digest to the next.
     [[nodiscard]] int periods_between() const;
+    [[nodiscard]] bool knows_newer(const peer& one) const;
     [[nodiscard]] bool lives(const peer& one) const;
     [[nodiscard]] bool is_ready() const;
 
@@ -139,7 +140,7 @@
     bool reaches_store_ = true;
     bool follows_tables_ = false;
     std::function<std::vector<row_version>()> table_versions_;
-    std::function<void()> digest_taken_;
+    std::function<void()> newer_told_;
     time_point told_{};
     int periods_since_told_ = 0;
     std::unique_ptr<timer_subscription> soon_timer_;
