--- a/src/ctl/explain_command.cc
+++ b/src/ctl/explain_command.cc
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
+#include <tclap/CmdLine.h>
 
 #include <fstream>
 #include <iostream>
