Tell peers only of the usage that changed, and all of it at times

Ruled out: longer periods (placement and caps live on fresh news). Change: a digest has the customers that asked within four periods and the last two windows; every eighth, and the last of a stopping node, has all. A customer's figure from before a silence is a new baseline when it is told again, whichever digest that is.

--- a/include/jujubetide/serving/usage_cap.h
+++ b/include/jujubetide/serving/usage_cap.h
@@ -56,6 +56,9 @@
 
     /// What this node has admitted, for the others.
     [[nodiscard]] std::vector<customer_spending> spending(time_point now) const;
+    /// As above, for the customers that asked lately only: all that is news to those that hear each
+    /// digest, or all but three in a row.
+    [[nodiscard]] std::vector<customer_spending> recent_spending(time_point now) const;
     /// Takes what another node has admitted since its start.
     void on_peer_spending(const node_id& node, incarnation start,
                           const std::vector<customer_spending>& spending, time_point now);
@@ -76,6 +79,10 @@
     struct counted {
         double total = 0.0;
         double asked = 0.0;
+        /// Of the own counts: when they last changed.
+        time_point changed{};
+        /// Of a peer's counts: from before a silence of the peer.
+        bool is_stale = false;
     };
     struct peer_counts {
         incarnation start;
@@ -89,6 +96,8 @@
     /// Whether a call may pass although the others may be asked for more than the bucket holds.
     bool passes_contention(const bucket& own, time_point now);
     [[nodiscard]] micros wait_for(const bucket& own, double needed);
+    [[nodiscard]] std::vector<customer_spending> spending_since(time_point since,
+                                                                time_point now) const;
     void take(bucket& own, const customer_spending& told, const counted& news, bool counts,
               time_point now) const;
 
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -17,6 +17,8 @@
 constexpr micros lately{5'000'000};
 /// The row of a node that was not heard for this long is removed; if it lives it writes it again.
 constexpr micros row_lifetime{20'000'000};
+/// One of so many digests tells all usage; the others what changed lately.
+constexpr int digests_of_whole = 8;
 /// Shortest time between two digests.
 constexpr micros least_digest_interval{100'000};
 /// Wait before the own row is written again after a failure.
@@ -149,8 +151,7 @@
         digest.lease_record = jujubetide::to_text(lease_->record);
         digest.lease_version = lease_->version;
     }
-    digest.spending = state_.caps.spending(state_.time.now());
-    digest.usage = state_.usage.own();
+    add_usage(digest);
     digest.loads = state_.loads.own();
     digest.readings = state_.prompts.take_news();
     digest.demand = state_.demand.all(state_.time.now());
@@ -160,6 +161,20 @@
     }
 }
 
+void peer_exchange::add_usage(peer_digest& digest) {
+    const bool is_whole = state_.stopping || told_since_whole_ == 0;
+    told_since_whole_ = (told_since_whole_ + 1) % digests_of_whole;
+    digest.usage = state_.usage.own();
+    if (is_whole) {
+        digest.spending = state_.caps.spending(state_.time.now());
+        return;
+    }
+    digest.spending = state_.caps.recent_spending(state_.time.now());
+    const usage_window current = state_.usage.window_at(state_.time.wall_now());
+    std::erase_if(digest.usage,
+                  [current](const auto& item) { return item.first.value() + 1 < current.value(); });
+}
+
 void peer_exchange::receive(std::string_view bytes) {
     const absl::StatusOr<peer_digest> digest = decode_digest(bytes);
     if (!digest.ok()) {
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -123,6 +123,9 @@
     void put_row(const stored_row& row);
     void write_own_row();
     void look();
+    /// Puts what changes with calls into a digest: all of it at times and at the end, else only
+    /// what changed lately.
+    void add_usage(peer_digest& digest);
     /// Periods from one digest to the next.
     [[nodiscard]] int periods_between() const;
     [[nodiscard]] bool knows_newer(const peer& one) const;
@@ -143,6 +146,7 @@
     std::function<void()> newer_told_;
     time_point told_{};
     int periods_since_told_ = 0;
+    int told_since_whole_ = 0;
     std::unique_ptr<timer_subscription> soon_timer_;
     bool row_wanted_ = false;
     bool row_pending_ = false;
--- a/src/serving/usage_cap.cc
+++ b/src/serving/usage_cap.cc
@@ -58,6 +58,7 @@
     bucket& own = refill(customer, now);
     counted& counts = own_[customer.id];
     counts.asked += usage;
+    counts.changed = now;
     // A call larger than the burst passes when the bucket is full.
     const double needed = std::min(usage, own.burst);
     const double level = own.level;
@@ -90,14 +91,27 @@
     }
     bucket& own = refill(customer, now);
     own.level = std::min(own.burst, own.level + usage);
-    own_[customer.id].total -= usage;
+    counted& counts = own_[customer.id];
+    counts.total -= usage;
+    counts.changed = now;
 }
 
 std::vector<customer_spending> usage_cap::spending(time_point now) const {
+    return spending_since(time_point{}, now);
+}
+
+std::vector<customer_spending> usage_cap::recent_spending(time_point now) const {
+    constexpr int repeats = 4;
+    return spending_since(now - repeats * period_, now);
+}
+
+std::vector<customer_spending> usage_cap::spending_since(time_point since, time_point now) const {
     std::vector<customer_spending> list;
     for (const auto& [customer, counts] : own_) {
-        list.push_back(
-            {customer, counts.total, counts.asked, level_at(buckets_.at(customer), now)});
+        if (counts.changed >= since) {
+            list.push_back(
+                {customer, counts.total, counts.asked, level_at(buckets_.at(customer), now)});
+        }
     }
     return list;
 }
@@ -108,16 +122,20 @@
     peer_counts& peer = peers_[node];
     // What a node admitted before it was first heard has long been refilled, and while it was
     // silent its part was left out of the buckets here.
-    const bool counts = known && now - peer.told < silence_limit_at(period_);
+    const bool is_back = !known || now - peer.told >= silence_limit_at(period_);
     if (peer.start != start) {
         peer.customers.clear();
     }
+    for (auto& [customer, counts] : peer.customers) {
+        counts.is_stale = counts.is_stale || is_back;
+    }
     peer.start = start;
     peer.told = now;
     for (const customer_spending& one : spending) {
         counted& before = peer.customers[one.customer];
-        const counted news{one.total - before.total, one.asked - before.asked};
-        before = {one.total, one.asked};
+        const counted news{one.total - before.total, one.asked - before.asked, {}, false};
+        const bool counts = known && !before.is_stale;
+        before = {one.total, one.asked, {}, false};
         if (const auto found = buckets_.find(one.customer); found != buckets_.end()) {
             take(found->second, one, news, counts, now);
         }
--- a/tests/node/table_readers_test.cc
+++ b/tests/node/table_readers_test.cc
@@ -28,6 +28,7 @@
 
 std::vector<table_reader_candidate> many_nodes(int count) {
     std::vector<table_reader_candidate> nodes;
+    nodes.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         nodes.push_back({node_id("n" + std::to_string(i)), i % 10 == 0 ? 0.5 : 0.12, true});
     }
--- a/tests/serving/directory_selection_test.cc
+++ b/tests/serving/directory_selection_test.cc
@@ -10,6 +10,7 @@
 
 std::vector<directory_entry> hosts(int large, int small) {
     std::vector<directory_entry> list;
+    list.reserve(static_cast<std::size_t>(large) + static_cast<std::size_t>(small));
     for (int i = 0; i < large + small; ++i) {
         list.push_back({{"10.0.0." + std::to_string(i), 80}, i < large ? 0.5 : 0.12});
     }
--- a/tests/serving/usage_cap_test.cc
+++ b/tests/serving/usage_cap_test.cc
@@ -166,8 +166,9 @@
             tell_one();
             const bool is_loud = cluster.now - begin >= quiet;
             due += (is_loud ? asked : cap / 20.0) * std::chrono::duration<double>(step).count();
-            for (; due >= call_tokens; due -= call_tokens) {
-                waiting.push_back({cluster.now, true});
+            while (due >= call_tokens) {
+                waiting_.push_back({cluster.now, true});
+                due -= call_tokens;
             }
             for (const call& one : take_due()) {
                 ask(one, admitted);
@@ -195,9 +196,9 @@
     }
     std::vector<call> take_due() {
         std::vector<call> due;
-        std::copy_if(waiting.begin(), waiting.end(), std::back_inserter(due),
+        std::copy_if(waiting_.begin(), waiting_.end(), std::back_inserter(due),
                      [this](const call& one) { return one.at <= cluster.now; });
-        std::erase_if(waiting, [this](const call& one) { return one.at <= cluster.now; });
+        std::erase_if(waiting_, [this](const call& one) { return one.at <= cluster.now; });
         return due;
     }
     void ask(const call& one, std::vector<std::pair<time_point, double>>& admitted) {
@@ -206,11 +207,11 @@
         if (decision.admitted) {
             admitted.emplace_back(cluster.now, call_tokens);
         } else if (one.is_first) {
-            waiting.push_back({cluster.now + decision.retry_after, false});
+            waiting_.push_back({cluster.now + decision.retry_after, false});
         }
     }
 
-    std::vector<call> waiting;
+    std::vector<call> waiting_;
     std::uint64_t turn_ = 0;
     std::size_t asked_ = 0;
 };
@@ -256,3 +257,43 @@
         CHECK(by_second[second] <= 1.6 * cap);
     }
 }
+
+TEST_CASE("a node tells the customers that asked lately, and at times all") {
+    seeded_random random{1};
+    usage_cap node(random);
+    time_point now{micros{10'000'000}};
+    serving_customer other = capped_customer();
+    other.id = customer_id("other");
+    (void)node.admit(capped_customer(), 10.0, now);
+    now += std::chrono::seconds(3);
+    (void)node.admit(other, 20.0, now);
+    REQUIRE(node.recent_spending(now).size() == 1);
+    CHECK(node.recent_spending(now)[0].customer == other.id);
+    CHECK(node.spending(now).size() == 2);
+}
+
+TEST_CASE(
+    "what a customer used during a silence is not charged when it is told later than others") {
+    seeded_random random{1};
+    usage_cap node(random);
+    const serving_customer customer = capped_customer();
+    time_point now{micros{10'000'000}};
+    const node_id peer("n2");
+    const incarnation start(1);
+    const auto tell = [&](double total) {
+        node.on_peer_spending(peer, start, {{customer.id, total, total, 0.5 * cap}}, now);
+    };
+    // Its bucket is half full at the start.
+    CHECK(node.admit(customer, 0.0, now).level == Approx(0.5 * cap));
+    node.on_peer_spending(peer, start, {}, now);
+    tell(1'000.0);
+    CHECK(node.admit(customer, 0.0, now).level == Approx(0.5 * cap - 1'000.0).margin(1'000.0));
+    now += std::chrono::seconds(10); // Silence; the bucket is full again.
+    node.on_peer_spending(peer, start, {}, now);
+    now += millis{300};
+    tell(10.0 * cap);
+    CHECK(node.admit(customer, 0.0, now).level >= 0.4 * cap);
+    now += millis{300};
+    tell(10.0 * cap + 5'000.0);
+    CHECK(node.admit(customer, 0.0, now).level >= 0.4 * cap);
+}
