Give each test process its own ports

Ruled out: a fault of the node; the log names the address. Change: ports by process, outside the range of outgoing connections.

--- a/tests/node/peer_exchange_test.cc
+++ b/tests/node/peer_exchange_test.cc
@@ -2,6 +2,7 @@
 #include "node_fixture.h"
 #include "support/manual_clock.h"
 #include "support/manual_timer_service.h"
+#include "support/test_ports.h"
 
 #include <catch2/catch.hpp>
 
@@ -14,7 +15,7 @@
         node_settings settings;
         settings.node = node_id("n1");
         settings.callers = {"10.0.0.1", 80};
-        settings.peers = {"127.0.0.1", own_port};
+        settings.peers = {"127.0.0.1", own_port(0)};
         state = std::make_unique<serving_state>(settings, loop, timers, time, log, random, headers);
         state->config = serving_config::make({});
         peers = *peer_exchange::make(*state, store, incarnation(1));
@@ -42,7 +43,7 @@
         const service_id marker("digest-" + std::to_string(++digests));
         digest.demand[marker] = 1.0;
         const auto socket = *udp_socket::make(loop, {"127.0.0.1", 0}, [](std::string_view) {});
-        socket->send({"127.0.0.1", own_port}, encode(digest));
+        socket->send({"127.0.0.1", own_port(0)}, encode(digest));
         REQUIRE(run_until(loop, [&] { return peers->total_demand().contains(marker); }));
     }
     void advance(millis step) {
@@ -59,7 +60,6 @@
         return list;
     }
 
-    static constexpr std::uint16_t own_port = 29'017;
     int digests = 0;
     event_loop loop;
     manual_timer_service timers;
@@ -133,11 +133,11 @@
 
 TEST_CASE("what a node tells in a second does not grow with the number of nodes beyond a hundred") {
     peers_fixture fixture;
-    constexpr std::uint16_t receiver_port = 29'018;
+    const std::uint16_t receiver_port = own_port(1);
     int received = 0;
     const auto receiver = *udp_socket::make(fixture.loop, {"127.0.0.1", receiver_port},
                                             [&received](std::string_view) { ++received; });
-    fixture.add_row("receiver", "10.0.0.2:80", "127.0.0.1:29018");
+    fixture.add_row("receiver", "10.0.0.2:80", "127.0.0.1:" + std::to_string(receiver_port));
     const auto told_in = [&](millis time) {
         const int before = received;
         fixture.advance(time);
--- a/tests/node/shared_tables_test.cc
+++ b/tests/node/shared_tables_test.cc
@@ -1,5 +1,6 @@
 // Nodes that share the reading of the store's tables, each with its own sockets on one loop.
 #include "node_fixture.h"
+#include "support/test_ports.h"
 
 #include <catch2/catch.hpp>
 
@@ -68,7 +69,7 @@
         node_settings settings;
         settings.node = node_id("n" + std::to_string(number));
         settings.callers = {"127.0.0.1", 0};
-        settings.peers = {"127.0.0.1", static_cast<std::uint16_t>(first_port + number)};
+        settings.peers = {"127.0.0.1", own_port(number)};
         made = *node::make(settings, {loop, time, log, random, headers, rows,
                                       platform::row_codec::tables(), store, calls});
         made->start();
@@ -77,7 +78,6 @@
         return log.count("feeds_followed") > log.count("feeds_left");
     }
 
-    static constexpr int first_port = 29'040;
     recorded_log log;
     seeded_random random{1};
     platform::call_headers headers;
