--- a/include/jujubetide/serving/backend_list.h
+++ b/include/jujubetide/serving/backend_list.h
@@ -38,8 +38,6 @@
     /// How long a server that vanished may be used where there is no other.
     static constexpr micros comeback_time{1'900'000};
 
-    /// Replaces everything, as read at once.
-    void replace(const std::vector<backend_server>& servers, time_point now);
     void put(const backend_server& server);
     void remove(const backend_server_id& id, time_point now);
     /// Forgets the vanished servers whose time to come back has passed; returns them.
@@ -51,6 +49,9 @@
         std::optional<time_point> vanished;
     };
 
+    /// Those of the list that are not among `servers`.
+    [[nodiscard]] std::vector<backend_server_id>
+    missing_from(const std::vector<backend_server>& servers) const;
     /// Null where there is none.
     [[nodiscard]] const entry* find(const backend_server_id& id) const;
     [[nodiscard]] const std::map<backend_server_id, entry>& all() const { return entries_; }
--- a/include/jujubetide/serving/engine_placement.h
+++ b/include/jujubetide/serving/engine_placement.h
@@ -20,7 +20,6 @@
     std::span<const prompt_part> parts;
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0;
-    failure_domain_id failure_domain;
     /// Servers that were tried already.
     std::span<const backend_server_id> tried;
     time_point now{};
--- a/include/jujubetide/serving/scaling_planner.h
+++ b/include/jujubetide/serving/scaling_planner.h
@@ -29,15 +29,13 @@
     /// `busy` servers' worth of work arrives; `present` take new work now.
     [[nodiscard]] server_numbers plan(const scaling_limits& limits, double busy,
                                       const server_numbers& present, time_point now);
-    /// An order of reclaimable servers cannot be met at present.
-    void on_refused(const server_group& group, time_point now);
 
 private:
     struct group_state {
         unsigned ordered = 0;
         unsigned present = 0;
         time_point increased{};
-        /// When servers were lost, or refused, last.
+        /// When servers were lost last.
         std::optional<time_point> failed;
     };
 
--- a/include/jujubetide/serving/usage_cap.h
+++ b/include/jujubetide/serving/usage_cap.h
@@ -76,18 +76,23 @@
         double peers_asked = 0.0;
         time_point peers_updated{};
     };
-    struct counted {
-        double total = 0.0;
+    struct usage_totals {
+        double admitted = 0.0;
         double asked = 0.0;
-        /// Of the own counts: when they last changed.
+    };
+    struct own_usage {
+        usage_totals totals;
         time_point changed{};
-        /// Of a peer's counts: from before a silence of the peer.
+    };
+    struct told_usage {
+        usage_totals totals;
+        /// Told before a silence of the peer.
         bool is_stale = false;
     };
     struct peer_counts {
         incarnation start;
         time_point told{};
-        std::map<customer_id, counted> customers;
+        std::map<customer_id, told_usage> customers;
     };
 
     static double level_at(const bucket& one, time_point now);
@@ -98,12 +103,12 @@
     [[nodiscard]] micros wait_for(const bucket& own, double needed);
     [[nodiscard]] std::vector<customer_spending> spending_since(time_point since,
                                                                 time_point now) const;
-    void take(bucket& own, const customer_spending& told, const counted& news, bool counts,
+    void take(bucket& own, const customer_spending& told, const usage_totals& news, bool counts,
               time_point now) const;
 
     random_source& random_;
     absl::flat_hash_map<customer_id, bucket> buckets_;
-    std::map<customer_id, counted> own_;
+    std::map<customer_id, own_usage> own_;
     std::map<node_id, peer_counts> peers_;
     /// Part of the cap that belongs to the nodes that are heard.
     double part_ = 1.0;
--- a/include/jujubetide/store/table_follower.h
+++ b/include/jujubetide/store/table_follower.h
@@ -70,7 +70,6 @@
 
     /// The version up to which the observer knows the table.
     [[nodiscard]] row_version at() const { return at_; }
-    [[nodiscard]] bool is_loaded() const { return loaded_; }
     [[nodiscard]] bool is_following() const { return following_; }
     /// The store did not answer the last call of a follower that follows it.
     [[nodiscard]] bool is_away() const { return following_ && away_; }
--- a/src/explain/call_explanation.cc
+++ b/src/explain/call_explanation.cc
@@ -1,5 +1,8 @@
 #include "jujubetide/explain/call_explanation.h"
 
+#include "edge/edge_events.h"
+#include "node/node_events.h"
+
 #include <absl/status/status.h>
 #include <absl/strings/str_cat.h>
 
@@ -18,12 +21,17 @@
 
 /// Events that change what a node believes or does.
 constexpr std::array<std::string_view, 14> node_events{
-    "node_started",    "node_stopping", "node_stopped", "node_reloaded",    "config_in_force",
-    "config_rejected", "table_away",    "table_back",   "table_from_peer",  "feeds_followed",
-    "feeds_left",      "peer_lost",     "peer_found",   "log_lines_dropped"};
-constexpr std::array<std::string_view, 5> server_events{
-    "server_seen", "server_leaving", "server_vanished", "server_gone", "registration_rejected"};
-constexpr std::array<std::string_view, 2> order_events{"servers_ordered", "servers_not_ordered"};
+    node_started.name,    node_stopping.name,    node_stopped.name, node_reloaded.name,
+    config_in_force.name, config_rejected.name,  table_away.name,   table_back.name,
+    table_from_peer.name, feeds_followed.name,   feeds_left.name,   peer_lost.name,
+    peer_found.name,      log_lines_dropped.name};
+constexpr std::array<std::string_view, 5> server_events{server_seen.name, server_leaving.name,
+                                                        server_vanished.name, server_gone.name,
+                                                        registration_rejected.name};
+constexpr std::array<std::string_view, 2> order_events{servers_ordered.name,
+                                                       servers_not_ordered.name};
+constexpr std::array<std::string_view, 4> end_events{call_ended.name, call_failed.name,
+                                                     call_refused.name, call_left.name};
 
 template <std::size_t Size>
 bool contains(const std::array<std::string_view, Size>& names, const std::string& name) {
@@ -31,8 +39,7 @@
 }
 
 bool is_end(const log_record& record) {
-    return record.name == "call_ended" || record.name == "call_failed" ||
-           record.name == "call_refused" || record.name == "call_left";
+    return contains(end_events, record.name);
 }
 
 struct cause_text {
@@ -106,7 +113,7 @@
         if (one.at < begin_ || one.at > end_ || one.field("id") == id) {
             continue;
         }
-        if (one.name == "attempt_over" && servers_.contains(one.field("server"))) {
+        if (one.name == attempt_over.name && servers_.contains(one.field("server"))) {
             ++other_failures_[one.field("server")];
         } else if (is_surrounding(one)) {
             surroundings_.push_back(one);
@@ -140,16 +147,16 @@
 
 std::string call_explanation::verdict_of_end(const log_record& last) const {
     const std::string where = absl::StrCat(" at ", last.node);
-    if (last.name == "call_refused") {
+    if (last.name == call_refused.name) {
         return absl::StrCat("Refused with ", last.field("status"), where,
                             " and did not run: ", text_of(last.field("cause")), ".");
     }
-    if (last.name == "call_failed") {
+    if (last.name == call_failed.name) {
         return absl::StrCat("Failed", where, " after ", last.field("ms"), " ms and ",
                             last.field("servers_tried"), " servers: ", text_of(last.field("cause")),
                             ".");
     }
-    if (last.name == "call_left") {
+    if (last.name == call_left.name) {
         return absl::StrCat("The caller closed its connection", where, " after ", last.field("ms"),
                             " ms, ", last.field("cause") == "mid_answer" ? "amid" : "before",
                             " the answer.");
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -37,8 +37,8 @@
 /// Descriptors that are left for everything but callers.
 constexpr std::size_t reserved_descriptors = 800;
 
-/// How often rows of dead nodes are looked for.
-constexpr micros dead_row_period{5'000'000};
+/// How often rows of dead nodes are looked for, and old readings of prompts are let go.
+constexpr micros cleaning_period{5'000'000};
 
 /// Rows of servers and nodes change often; the configuration's must arrive at once.
 constexpr micros shared_table_interval{250'000};
@@ -103,7 +103,7 @@
     std::unique_ptr<usage_reporter> usage;
     std::unique_ptr<server_scaler> scaler;
     std::unique_ptr<timer_subscription> expiry;
-    std::unique_ptr<timer_subscription> dead_rows;
+    std::unique_ptr<timer_subscription> cleaning;
     std::unique_ptr<timer_subscription> stop_check;
     time_point stop_began{};
     /// How long after the stop began the last call had no final answer.
@@ -187,7 +187,8 @@
     }
     parts_->expiry = state.timers.every(expiry_period, expiry_period,
                                         [this] { parts_->registrations.expire(); });
-    parts_->dead_rows = state.timers.every(dead_row_period, dead_row_period, [this] {
+    parts_->cleaning = state.timers.every(cleaning_period, cleaning_period, [this] {
+        parts_->state.prompts.expire(parts_->state.time.now());
         if (parts_->lease->held()) {
             parts_->peers->remove_dead_rows();
         }
@@ -232,7 +233,7 @@
 }
 
 bool node::is_ready() const {
-    return parts_->state.config != nullptr && !parts_->state.stopping;
+    return parts_->state.is_ready();
 }
 
 std::vector<endpoint> node::caller_addresses(const failure_domain_id& asker,
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -19,8 +19,6 @@
 constexpr micros row_lifetime{20'000'000};
 /// One of so many digests tells all usage; the others what changed lately.
 constexpr int digests_of_whole = 8;
-/// Shortest time between two digests.
-constexpr micros least_digest_interval{100'000};
 /// Wait before the own row is written again after a failure.
 constexpr micros row_retry{500'000};
 
@@ -112,32 +110,17 @@
     });
 }
 
-bool peer_exchange::is_ready() const {
-    return state_.config != nullptr && !state_.stopping;
-}
-
 void peer_exchange::set_store_access(bool reaches, bool follows) {
     reaches_store_ = reaches;
     follows_tables_ = follows;
 }
 
-void peer_exchange::tell_soon() {
-    const micros since = state_.time.now() - told_;
-    if (since >= least_digest_interval) {
-        tell();
-    } else {
-        soon_timer_ = state_.timers.once(least_digest_interval - since, [this] { tell(); });
-    }
-}
-
 void peer_exchange::tell() {
-    told_ = state_.time.now();
     periods_since_told_ = 0;
-    soon_timer_.reset();
     peer_digest digest;
     digest.node = state_.settings.node;
     digest.start = start_;
-    digest.is_ready = is_ready();
+    digest.is_ready = state_.is_ready();
     digest.is_leaving = state_.stopping;
     digest.cores = state_.settings.cores;
     digest.reaches_store = reaches_store_;
@@ -322,7 +305,7 @@
     }
     // A node that hears nobody is likely cut off itself, rather than all others dead.
     std::vector<directory_entry> entries = live_peers() == 0 ? lately_live : live;
-    if (is_ready() || entries.empty()) {
+    if (state_.is_ready() || entries.empty()) {
         entries.push_back({state_.settings.callers, state_.settings.cores});
     }
     return entries;
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -65,8 +65,6 @@
     }
     /// What the digests say of the store: whether it answers, and whether this node follows it.
     void set_store_access(bool reaches, bool follows);
-    /// Tells the peers of a change soon, without waiting for the next digest.
-    void tell_soon();
     /// Is called when a peer tells that it knows a newer change of a shared table.
     void on_newer_told(std::function<void()> handler) { newer_told_ = std::move(handler); }
 
@@ -130,7 +128,6 @@
     [[nodiscard]] int periods_between() const;
     [[nodiscard]] bool knows_newer(const peer& one) const;
     [[nodiscard]] bool lives(const peer& one) const;
-    [[nodiscard]] bool is_ready() const;
 
     serving_state& state_;
     row_store& store_;
@@ -144,10 +141,8 @@
     bool follows_tables_ = false;
     std::function<std::vector<row_version>()> table_versions_;
     std::function<void()> newer_told_;
-    time_point told_{};
     int periods_since_told_ = 0;
     int told_since_whole_ = 0;
-    std::unique_ptr<timer_subscription> soon_timer_;
     bool row_wanted_ = false;
     bool row_pending_ = false;
     std::unique_ptr<timer_subscription> digest_timer_;
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -148,7 +148,6 @@
     query.output_tokens = std::min(
         request_.fields.max_output_tokens,
         request_.fields.expected_output_tokens.value_or(request_.fields.max_output_tokens));
-    query.failure_domain = state_.settings.failure_domain;
     query.tried = tried_;
     query.now = state_.time.now();
     const auto candidates = state_.backends.usable(service_->id);
--- a/src/node/serving_state.h
+++ b/src/node/serving_state.h
@@ -34,6 +34,9 @@
         : settings(of), loop(on), timers(timed_by), time(time_source), log(to), random(chance),
           codec(translation), client(on, time_source), usage(of.usage_window) {}
 
+    /// Whether callers should come to this node.
+    [[nodiscard]] bool is_ready() const { return config != nullptr && !stopping; }
+
     node_settings settings;
     event_loop& loop;
     /// The loop's, but in tests.
--- a/src/node/table_watches.cc
+++ b/src/node/table_watches.cc
@@ -78,15 +78,10 @@
             servers.push_back(*std::move(server));
         }
     }
-    std::vector<backend_server_id> vanished;
-    for (const auto& [id, entry] : state_.backends.all()) {
-        vanished.push_back(id);
-    }
     for (const backend_server& server : servers) {
-        std::erase(vanished, server.id);
         put(server);
     }
-    for (const backend_server_id& id : vanished) {
+    for (const backend_server_id& id : state_.backends.missing_from(servers)) {
         remove(id);
     }
 }
@@ -132,7 +127,6 @@
 }
 
 void registration_watch::expire() {
-    state_.prompts.expire(state_.time.now());
     for (const backend_server_id& id : state_.backends.expire(state_.time.now())) {
         state_.health.forget(id);
         state_.prompts.forget(id);
--- a/src/serving/backend_list.cc
+++ b/src/serving/backend_list.cc
@@ -1,25 +1,8 @@
 #include "jujubetide/serving/backend_list.h"
 
-namespace jujubetide {
+#include <absl/container/flat_hash_set.h>
 
-void backend_list::replace(const std::vector<backend_server>& servers, time_point now) {
-    std::map<backend_server_id, bool> present;
-    for (const backend_server& server : servers) {
-        present[server.id] = true;
-    }
-    std::vector<backend_server_id> vanished;
-    for (const auto& [id, one] : entries_) {
-        if (!present.contains(id)) {
-            vanished.push_back(id);
-        }
-    }
-    for (const backend_server_id& id : vanished) {
-        remove(id, now);
-    }
-    for (const backend_server& server : servers) {
-        put(server);
-    }
-}
+namespace jujubetide {
 
 void backend_list::put(const backend_server& server) {
     entries_[server.id] = {server, std::nullopt};
@@ -50,6 +33,21 @@
     return expired;
 }
 
+std::vector<backend_server_id>
+backend_list::missing_from(const std::vector<backend_server>& servers) const {
+    absl::flat_hash_set<backend_server_id> present;
+    for (const backend_server& server : servers) {
+        present.insert(server.id);
+    }
+    std::vector<backend_server_id> missing;
+    for (const auto& [id, one] : entries_) {
+        if (!present.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    return missing;
+}
+
 const backend_list::entry* backend_list::find(const backend_server_id& id) const {
     const auto found = entries_.find(id);
     return found == entries_.end() ? nullptr : &found->second;
--- a/src/serving/prompt_memory.cc
+++ b/src/serving/prompt_memory.cc
@@ -55,7 +55,7 @@
         return 0.0;
     }
     for (const reading& one : found->second) {
-        if (one.server == server) {
+        if (one.server == server && now - one.at < lifetime) {
             const std::chrono::duration<double> age = now - one.at;
             return fresh_belief * std::exp2(-std::max(0.0, age.count()) / half_life_s);
         }
--- a/src/serving/scaling_planner.cc
+++ b/src/serving/scaling_planner.cc
@@ -20,7 +20,7 @@
 constexpr double reclaimable_part = 1.0;
 /// Time beyond the boot time after which an ordered server counts as not to be had.
 constexpr micros order_slack{1'500'000};
-/// A group that lost servers, or was refused some, is not counted on to get new ones for this long.
+/// A group that lost servers is not counted on to get new ones for this long.
 constexpr micros distrust_time{10'000'000};
 /// Reliable servers are given up only when they were not wanted for this long.
 constexpr micros hold_time{8'000'000};
@@ -113,10 +113,6 @@
     }
 }
 
-void scaling_planner::on_refused(const server_group& group, time_point now) {
-    groups_[group].failed = now;
-}
-
 unsigned scaling_planner::available(const scaling_limits& limits, time_point now) const {
     unsigned sum = 0;
     for (const auto& [group, state] : groups_) {
--- a/src/serving/usage_cap.cc
+++ b/src/serving/usage_cap.cc
@@ -56,9 +56,9 @@
         return {};
     }
     bucket& own = refill(customer, now);
-    counted& counts = own_[customer.id];
-    counts.asked += usage;
-    counts.changed = now;
+    own_usage& used = own_[customer.id];
+    used.totals.asked += usage;
+    used.changed = now;
     // A call larger than the burst passes when the bucket is full.
     const double needed = std::min(usage, own.burst);
     const double level = own.level;
@@ -66,7 +66,7 @@
         return {false, wait_for(own, needed), level};
     }
     own.level -= usage;
-    counts.total += usage;
+    used.totals.admitted += usage;
     return {true, micros{0}, level};
 }
 
@@ -91,9 +91,9 @@
     }
     bucket& own = refill(customer, now);
     own.level = std::min(own.burst, own.level + usage);
-    counted& counts = own_[customer.id];
-    counts.total -= usage;
-    counts.changed = now;
+    own_usage& used = own_[customer.id];
+    used.totals.admitted -= usage;
+    used.changed = now;
 }
 
 std::vector<customer_spending> usage_cap::spending(time_point now) const {
@@ -107,10 +107,10 @@
 
 std::vector<customer_spending> usage_cap::spending_since(time_point since, time_point now) const {
     std::vector<customer_spending> list;
-    for (const auto& [customer, counts] : own_) {
-        if (counts.changed >= since) {
-            list.push_back(
-                {customer, counts.total, counts.asked, level_at(buckets_.at(customer), now)});
+    for (const auto& [customer, used] : own_) {
+        if (used.changed >= since) {
+            list.push_back({customer, used.totals.admitted, used.totals.asked,
+                            level_at(buckets_.at(customer), now)});
         }
     }
     return list;
@@ -126,31 +126,31 @@
     if (peer.start != start) {
         peer.customers.clear();
     }
-    for (auto& [customer, counts] : peer.customers) {
-        counts.is_stale = counts.is_stale || is_back;
+    for (auto& [customer, told] : peer.customers) {
+        told.is_stale = told.is_stale || is_back;
     }
     peer.start = start;
     peer.told = now;
     for (const customer_spending& one : spending) {
-        counted& before = peer.customers[one.customer];
-        const counted news{one.total - before.total, one.asked - before.asked, {}, false};
-        const bool counts = known && !before.is_stale;
-        before = {one.total, one.asked, {}, false};
+        told_usage& told = peer.customers[one.customer];
+        const bool counts = known && !told.is_stale;
+        const usage_totals news{one.total - told.totals.admitted, one.asked - told.totals.asked};
+        told = {{one.total, one.asked}, false};
         if (const auto found = buckets_.find(one.customer); found != buckets_.end()) {
             take(found->second, one, news, counts, now);
         }
     }
 }
 
-void usage_cap::take(bucket& own, const customer_spending& told, const counted& news, bool counts,
-                     time_point now) const {
+void usage_cap::take(bucket& own, const customer_spending& told, const usage_totals& news,
+                     bool counts, time_point now) const {
     own.level = level_at(own, now);
     own.updated = now;
     if (!counts) {
         own.level = std::min(own.level, told.level);
         return;
     }
-    own.level -= news.total;
+    own.level -= news.admitted;
     own.level += agreement_of_round / static_cast<double>(nodes_) * (told.level - own.level);
     own.peers_asked = peers_asked_at(own, now) + std::max(0.0, news.asked) / asked_memory_s;
     own.peers_updated = now;
--- a/tests/serving/backend_list_test.cc
+++ b/tests/serving/backend_list_test.cc
@@ -24,11 +24,21 @@
 
 constexpr time_point start{micros{1'000'000}};
 
+/// What a reading of the whole table does to the list.
+void read_table(backend_list& list, const std::vector<backend_server>& servers) {
+    for (const backend_server& one : servers) {
+        list.put(one);
+    }
+    for (const backend_server_id& id : list.missing_from(servers)) {
+        list.remove(id, start);
+    }
+}
+
 } // namespace
 
 TEST_CASE("leaving servers get no new work and are gone once removed") {
     backend_list list;
-    list.replace({server("a"), server("b")}, start);
+    read_table(list, {server("a"), server("b")});
     list.put(server("a", true));
     CHECK(usable(list) == std::vector<std::string>{"b"});
     list.remove(backend_server_id("a"), start);
@@ -38,8 +48,8 @@
 TEST_CASE("when all registrations lapse at once their servers stay in use until they had time to "
           "come back") {
     backend_list list;
-    list.replace({server("a"), server("b")}, start);
-    list.replace({}, start);
+    read_table(list, {server("a"), server("b")});
+    read_table(list, {});
     CHECK(usable(list).size() == 2);
     CHECK(list.expire(start + backend_list::comeback_time - millis{1}).empty());
     list.put(server("a"));
@@ -50,7 +60,7 @@
 
 TEST_CASE("a server that vanished is not used while others are registered") {
     backend_list list;
-    list.replace({server("a"), server("b")}, start);
+    read_table(list, {server("a"), server("b")});
     list.remove(backend_server_id("a"), start);
     CHECK(usable(list) == std::vector<std::string>{"b"});
 }
