Log the prompt parts of calls and what a failed attempt had in flight

Callers saw streams cut when engines crashed one after the other; the lines could not tell a crashing request from an overloaded or a crashing engine. attempt_over now has whether an event had arrived, the calls in flight at the server and the shared parts of the prompt; call_ended has the parts.

Overload and repeats are ruled out as the cause; repeats multiply it where streams may be resumed.

--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 #include <utility>
 
 namespace jujubetide {
@@ -58,6 +59,15 @@
     return std::to_string(to_millis(duration).count());
 }
 
+/// Ids of the prompt's parts that other calls may share, in order.
+std::string shared_part_ids(std::span<const prompt_part> parts) {
+    std::string ids;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        absl::StrAppend(&ids, i == 0 ? "" : ",", parts[i].id);
+    }
+    return ids;
+}
+
 std::string_view name_of(body_framing framing) {
     switch (framing) {
     case body_framing::none:
@@ -403,6 +413,8 @@
     const auto alive = shared_from_this();
     const time_point now = state_.time.now();
     const micros duration = now - sent_at_;
+    const bool began = attempt_has_events_;
+    const std::uint32_t server_calls = state_.loads.total(server_.id).running;
     end_attempt();
     event_splitter_.discard_incomplete();
     switch (outcome) {
@@ -432,6 +444,9 @@
                       {"outcome", last_cause_},
                       {"status", has_response_head_ ? std::to_string(response_head_.status) : "-"},
                       {"ms", ms_text(duration)},
+                      {"began", began ? "yes" : "no"},
+                      {"server_calls", std::to_string(server_calls)},
+                      {"parts", shared_part_ids(request_.fields.prompt_parts)},
                       {"servers_tried", std::to_string(progress_.servers_tried)}});
     next_step step = retry_policy::decide(route_, progress_, outcome);
     if (step == next_step::resend && !can_resend(outcome)) {
@@ -560,6 +575,7 @@
                              {"charged", std::to_string(std::llround(request_.charged))},
                              {"candidates", std::to_string(candidate_count_)},
                              {"unread_tokens", std::to_string(choice_.prefill_tokens)},
+                             {"parts", shared_part_ids(request_.fields.prompt_parts)},
                              {"events", std::to_string(event_splitter_.event_count())},
                              {"framing", std::string(name_of(response_head_.framing))},
                              {"servers_tried", std::to_string(progress_.servers_tried)},
--- a/tests/node/node_metrics_test.cc
+++ b/tests/node/node_metrics_test.cc
@@ -61,3 +61,19 @@
     REQUIRE(line != fixture.log.lines.end());
     CHECK(std::stoll(line->fields.at("ms")) < 2'000); // The route's timeout.
 }
+
+TEST_CASE("log lines of attempts and calls name the shared parts of the prompt") {
+    node_fixture fixture;
+    fixture.start();
+    fixture.add_server("i-1", "model", [](scripted_call& call) { call.exchange->abort(); });
+    header_list headers;
+    headers.add("X-Prompt-Prefix", "aa:10,bb:20,cc:30");
+    (void)fixture.call("/stream/", headers);
+    const auto line = std::find_if(fixture.log.lines.begin(), fixture.log.lines.end(),
+                                   [](const auto& one) { return one.name == "attempt_over"; });
+    REQUIRE(line != fixture.log.lines.end());
+    CHECK(line->fields.at("parts") == "aa,bb");
+    CHECK(line->fields.at("began") == "no");
+    CHECK(line->fields.at("server_calls") == "1");
+    CHECK(fixture.log.lines.back().fields.at("parts") == "aa,bb");
+}
