--- a/tests/node/node_fixture.cc
+++ b/tests/node/node_fixture.cc
@@ -62,7 +62,7 @@
     servers.clear();
 }
 
-void node_fixture::start(const json& route_changes) {
+std::string config_of_test(std::uint64_t version, const json& route_changes) {
     json routes = json::array(
         {route("once", "non_idempotent", "plain", 1), route("often", "idempotent", "plain", 2),
          route("stream", "streaming", "model", 1), route("resumed", "streaming", "model", 2)});
@@ -71,7 +71,7 @@
         one.update(route_changes.value(one["name"].get<std::string>(), json::object()));
     }
     const json config = {
-        {"version", config_version++},
+        {"version", version},
         {"routes", routes},
         {"services",
          {{{"name", "plain"}, {"healthPath", "/healthz"}},
@@ -84,8 +84,28 @@
            {"plainTokens", 10},
            {"ratePerS", 10},
            {"burst", 30}}}}};
+    return config.dump();
+}
+
+std::string registration_of_test(const std::string& service, const endpoint& address) {
+    return json{{"service", service}, {"address", address.str()}, {"zone", "z1"}, {"version", "v1"},
+                {"slots", 8},         {"state", "ready"}}
+        .dump();
+}
+
+std::string request_of_test(const std::string& path, const header_list& headers) {
+    header_list all = headers;
+    all.add("Host", "h.example");
+    all.add("X-Attempt-Id", "id-1");
+    if (!headers.has("Authorization")) {
+        all.add("Authorization", "Token key");
+    }
+    return serialize_request("POST", path, all, "body");
+}
+
+void node_fixture::start(const json& route_changes) {
     const int before = log.count("config_in_force");
-    store.put("op", "config", config.dump());
+    store.put("op", "config", config_of_test(config_version++, route_changes));
     run_until(loop, [&] { return log.count("config_in_force") > before; });
 }
 
@@ -93,30 +113,16 @@
                                           scripted_server::script script) {
     servers.push_back(std::make_unique<scripted_server>(loop, time, std::move(script)));
     const int before = log.count("server_seen");
-    store.put("servers", id,
-              json{{"service", service},
-                   {"address", servers.back()->address().str()},
-                   {"zone", "z1"},
-                   {"version", "v1"},
-                   {"slots", 8},
-                   {"state", "ready"}}
-                  .dump());
+    store.put("servers", id, registration_of_test(service, servers.back()->address()));
     run_until(loop, [&] { return log.count("server_seen") > before; });
     return *servers.back();
 }
 
 std::unique_ptr<http1_call> node_fixture::send(const std::string& path, recorded_call& events,
                                                const header_list& more) {
-    header_list all = more;
-    all.add("Host", "h.example");
-    all.add("X-Attempt-Id", "id-1");
-    if (!more.has("Authorization")) {
-        all.add("Authorization", "Token key");
-    }
     call_options options;
     options.max_idle = micros{0};
-    return client.call(tested->caller_endpoint(), serialize_request("POST", path, all, "body"),
-                       options, events);
+    return client.call(tested->caller_endpoint(), request_of_test(path, more), options, events);
 }
 
 recorded_call node_fixture::call(const std::string& path, const header_list& more) {
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -91,6 +91,14 @@
     std::uint64_t config_version = 1;
 };
 
+/// A configuration with the routes `/once/`, `/often/`, `/stream/` and `/resumed/`, with
+/// `route_changes` to their fields.
+std::string config_of_test(std::uint64_t version, const nlohmann::json& route_changes);
+/// The registration of a backend server.
+std::string registration_of_test(const std::string& service, const endpoint& address);
+/// A request with `headers` and, unless they have one, the customer's key.
+std::string request_of_test(const std::string& path, const header_list& headers);
+
 /// Sends a complete signed response.
 void answer(scripted_call& call, int status, const std::string& body);
 /// Begins a signed event stream.
--- a/tests/node/shared_tables_test.cc
+++ b/tests/node/shared_tables_test.cc
@@ -1,7 +1,6 @@
 // Several nodes, of which a few follow the store's tables for all, with their own sockets on one
 // loop.
-#include "node_fixture.h"
-#include "support/test_ports.h"
+#include "cluster_member.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,86 +8,6 @@
 
 namespace {
 
-/// One node's access to the common store: forwards calls or rejects them. Answers that arrive after
-/// its destruction are dropped.
-class rejecting_row_store final : public row_store {
-public:
-    explicit rejecting_row_store(fake_row_store& store, event_loop& loop)
-        : store_(store), loop_(loop) {}
-    void set_open(bool open) { open_ = open; }
-    [[nodiscard]] int change_calls() const { return change_calls_; }
-
-protected:
-    void do_read(const std::string& table, const std::string& from,
-                 batch_handler handler) override {
-        if (open_) {
-            store_.read(table, from, while_alive(std::move(handler)));
-        } else {
-            reject([handler] { handler(absl::UnavailableError("rejected by the test")); });
-        }
-    }
-    void do_changes(const std::string& table, row_version after, millis wait,
-                    batch_handler handler) override {
-        ++change_calls_;
-        if (open_) {
-            store_.changes(table, after, wait, while_alive(std::move(handler)));
-        } else {
-            reject([handler] { handler(absl::UnavailableError("rejected by the test")); });
-        }
-    }
-    void do_commit(const row_transaction& transaction, commit_handler handler) override {
-        if (open_) {
-            store_.commit(transaction, while_alive(std::move(handler)));
-        } else {
-            reject([handler] { handler(absl::UnavailableError("rejected by the test")); });
-        }
-    }
-
-private:
-    template <class Result>
-    std::function<void(Result)> while_alive(std::function<void(Result)> handler) {
-        return [handler = std::move(handler), alive = std::weak_ptr(alive_)](Result result) {
-            if (!alive.expired()) {
-                handler(std::move(result));
-            }
-        };
-    }
-    void reject(std::function<void()> answer) {
-        answers_.push_back(loop_.once(millis{1}, std::move(answer)));
-    }
-
-    fake_row_store& store_;
-    event_loop& loop_;
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-    bool open_ = true;
-    int change_calls_ = 0;
-    std::vector<std::unique_ptr<timer_subscription>> answers_;
-};
-
-struct cluster_member {
-    cluster_member(event_loop& loop, const boot_clock& time, fake_row_store& common, int number)
-        : store(common, loop) {
-        node_settings settings;
-        settings.node = node_id("n" + std::to_string(number));
-        settings.caller_endpoint = {"127.0.0.1", 0};
-        settings.peer_endpoint = {"127.0.0.1", own_port(number)};
-        instance = *node::make(settings, {loop, time, log, random, headers, rows,
-                                          platform::row_codec::tables(), store, calls});
-        instance->start();
-    }
-    [[nodiscard]] bool is_following() const {
-        return log.count("feeds_followed") > log.count("feeds_left");
-    }
-
-    recorded_log log;
-    seeded_random random{1};
-    platform::call_headers headers;
-    platform::row_codec rows;
-    recorded_platform_api calls;
-    rejecting_row_store store;
-    std::unique_ptr<node> instance;
-};
-
 struct cluster_fixture {
     explicit cluster_fixture(int count) {
         for (int i = 0; i < count; ++i) {
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -29,13 +29,18 @@
 
     scripted_server(event_loop& loop, const clock& time, script answer)
         : answer_(std::move(answer)),
-          server_(*http1_server::make(loop, time, {"127.0.0.1", 0}, *this)) {}
+          server_(*http1_server::make(loop, time, {"127.0.0.1", 0}, *this)),
+          address_(server_->address()) {}
 
-    [[nodiscard]] const endpoint& address() const { return server_->address(); }
+    [[nodiscard]] const endpoint& address() const { return address_; }
     [[nodiscard]] const std::vector<std::shared_ptr<scripted_call>>& calls() const {
         return calls_;
     }
     http1_server& server() { return *server_; }
+    /// Closes the listener and all connections, as the end of the process would. Not to be called
+    /// from the script.
+    void crash() { server_.reset(); }
+    [[nodiscard]] bool has_crashed() const { return server_ == nullptr; }
 
 protected:
     std::shared_ptr<exchange_events> do_request(request_head head, std::string body, time_point,
@@ -54,6 +59,7 @@
     script answer_;
     std::vector<std::shared_ptr<scripted_call>> calls_;
     std::unique_ptr<http1_server> server_;
+    endpoint address_;
 };
 
 } // namespace jujubetide
