Stop sending calls whose prompt parts crash engines

Callers saw: an engine ends as soon as it begins to answer a request with a certain prompt part; the streams of 5 to 10 other callers there break off, and the next such request, new or repeated, ends the next engine.

Cause: nothing related a crash to what the engine was about to answer. The node knew server health (this server is bad) but had no idea of a call that is bad for every server; the retry policy bounds repeats of one call, not the next call with the same content. Class: a request that kills whatever serves it, kept in circulation.

Change: prompt_quarantine counts, for each shared part, the separate crashes of engines under calls that waited for their first event, since the last answer to a call with the part; two (three if it was answered before) quarantine it. Parts that were together at all crashes are told apart by the sound calls that have only some of them. A crash is proven by a refused connection, so that resets, cut answers and stalls are no evidence. Nodes tell each other in the heartbeat, at once for a part that was never answered.

--- /dev/null
+++ b/include/jujubetide/serving/prompt_quarantine.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "jujubetide/base/ids.h"
+#include "jujubetide/base/random_source.h"
+#include "jujubetide/base/units.h"
+#include "jujubetide/serving/prefix_cache_tracker.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace jujubetide {
+
+/// Identifies a prompt part over all calls.
+using prompt_part_id = strong_id<struct prompt_part_tag>;
+/// Identifies one run of a backend server's process: a restart is another run.
+using server_run_id = strong_id<struct server_run_tag>;
+
+/// What a node knows of a prompt part that was in calls to crashed engines, for its peers.
+struct prompt_suspicion {
+    struct crash {
+        server_run_id run;
+        micros age{0};
+    };
+    prompt_part_id part;
+    /// Time since a call with the part was last answered; absent if none was.
+    std::optional<micros> since_answer;
+    std::vector<crash> crashes;
+};
+
+/// Finds prompt parts that crash the engines that begin to answer them, and blocks calls with them.
+/// The last part of a prompt is not considered: no other call has it.
+///
+/// An engine crash is evidence against every part of the calls that waited for their first event
+/// there. An answer to a call clears its parts. A part is quarantined when engines crashed under it
+/// at `min_crashes` separate times without an answer in between, so that neither one failure of
+/// many engines nor the parts that all calls share lead to a quarantine. Parts that engines crashed
+/// under together cannot be told apart; then only calls with all of them are blocked, and any call
+/// with some of them decides between them. A quarantine ends with an answer to a call that was in
+/// flight or that is admitted as a trial after `quarantine_time`. Not thread-safe.
+class prompt_quarantine {
+public:
+    /// Separate crashes that lead to a quarantine.
+    static constexpr std::size_t min_crashes = 2;
+    /// The same for a part that was answered before the crashes.
+    static constexpr std::size_t min_crashes_after_answer = 3;
+    /// Crashes within this time count as one: a common cause may have ended several engines.
+    static constexpr micros separate_crash_gap{250'000};
+    /// Engines that crash at any time, even together, under a part that leads to a quarantine.
+    static constexpr std::size_t min_crashed_runs = 4;
+    /// Evidence older than this is dropped.
+    static constexpr micros evidence_lifetime{1'200'000'000};
+    /// Parts that are remembered; of those without evidence, the oldest are dropped.
+    static constexpr std::size_t max_parts = 8'192;
+    /// Time between two trials.
+    static constexpr micros trial_interval{5'000'000};
+
+    /// `random` must outlive this object.
+    explicit prompt_quarantine(random_source& random) : random_(random) {}
+
+    /// A call with the parts was answered, and its engine survived the start of the answer.
+    void on_answered(std::span<const prompt_part> parts, time_point now);
+    /// An engine crashed before it began to answer a call with the parts. Returns whether this is
+    /// new evidence against a part that was never answered, which peers should know at once.
+    bool on_crash(const server_run_id& run, std::span<const prompt_part> parts, time_point now);
+
+    /// Whether a call with the parts would be blocked; trials are not considered.
+    [[nodiscard]] bool is_blocked(std::span<const prompt_part> parts) const;
+    /// Admits a call, possibly as a trial, or returns the time until the next trial.
+    [[nodiscard]] std::optional<micros> admit(std::span<const prompt_part> parts, time_point now);
+
+    /// What peers should know: quarantined parts, and those with recent changes.
+    [[nodiscard]] std::vector<prompt_suspicion> suspicions(time_point now) const;
+    void on_peer_suspicions(std::span<const prompt_suspicion> suspicions, time_point now);
+    void expire(time_point now);
+
+    [[nodiscard]] const std::set<prompt_part_id>& quarantined() const { return quarantined_; }
+    /// Separate crashes under a part since it was last answered.
+    [[nodiscard]] std::size_t separate_crashes(const prompt_part_id& part) const;
+
+    /// Minimum time from the last crash to the first trial. Grows with the number of crashes.
+    static micros quarantine_time(std::size_t crashes);
+
+private:
+    struct record {
+        std::optional<time_point> answered_at;
+        /// Crashes since the last answer.
+        std::map<server_run_id, time_point> crashes;
+        /// Peers are told until then, unless the part is quarantined.
+        time_point reported_until{};
+        time_point next_trial{};
+        /// Between 0 and 1; the nodes' differ, so that they do not start trials together.
+        double trial_offset = 0.0;
+    };
+
+    static std::size_t count_separate(const record& of);
+    static bool is_guilty(const record& of);
+    void update_quarantine(const prompt_part_id& part);
+    record& insert(const prompt_part_id& part, time_point now);
+    /// The parts of a prompt that block a call with it.
+    [[nodiscard]] std::vector<prompt_part_id>
+    blocking_parts(std::span<const prompt_part> parts) const;
+
+    random_source& random_;
+    absl::flat_hash_map<prompt_part_id, record> records_;
+    std::set<prompt_part_id> quarantined_;
+};
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/crash_watch.cc
@@ -0,0 +1,117 @@
+#include "node/crash_watch.h"
+
+#include "node/node_events.h"
+#include "node/proxied_call.h"
+#include "node/serving_state.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace jujubetide {
+namespace {
+
+server_run_id run_of(const backend_server& server) {
+    return server_run_id(absl::StrCat(server.id.str(), "/", server.started_at_ms));
+}
+
+} // namespace
+
+crash_watch::crash_watch(serving_state& state) : state_(state), quarantine_(state.random) {}
+
+void crash_watch::on_broken(const backend_server& server, std::vector<prompt_part> parts,
+                            std::function<void()> done) {
+    finished_checks_.clear();
+    const server_run_id run = run_of(server);
+    running_check& running = checks_[run];
+    running.calls.push_back({std::move(parts), std::move(done)});
+    if (!running.check) {
+        running.check =
+            connect_check::start(state_.loop, server.address, connect_timeout,
+                                 [this, run](bool connected) { on_checked(run, connected); });
+    }
+}
+
+void crash_watch::on_checked(const server_run_id& run, bool is_reachable) {
+    auto node = checks_.extract(run);
+    running_check finished = std::move(node.mapped());
+    // The handler that is running belongs to the check.
+    finished_checks_.push_back(std::move(finished.check));
+    const std::set<prompt_part_id> before = quarantine_.quarantined();
+    bool is_urgent = false;
+    if (!is_reachable) {
+        for (const waiting_call& call : finished.calls) {
+            is_urgent = quarantine_.on_crash(run, call.parts, state_.time.now()) || is_urgent;
+        }
+        state_.log.write(server_crashed, {{"run", run.str()},
+                                          {"waiting_calls", absl::StrCat(finished.calls.size())}});
+    }
+    apply_changes(before);
+    for (const waiting_call& call : finished.calls) {
+        call.done();
+    }
+    if (is_urgent && on_evidence_) {
+        on_evidence_();
+    }
+}
+
+void crash_watch::on_answered(std::span<const prompt_part> parts) {
+    const std::set<prompt_part_id> before = quarantine_.quarantined();
+    quarantine_.on_answered(parts, state_.time.now());
+    apply_changes(before);
+}
+
+std::optional<micros> crash_watch::refusal(std::span<const prompt_part> parts) {
+    return quarantine_.admit(parts, state_.time.now());
+}
+
+std::vector<prompt_suspicion> crash_watch::suspicions() const {
+    return quarantine_.suspicions(state_.time.now());
+}
+
+void crash_watch::on_peer_suspicions(std::span<const prompt_suspicion> suspicions) {
+    if (suspicions.empty()) {
+        return;
+    }
+    const std::set<prompt_part_id> before = quarantine_.quarantined();
+    quarantine_.on_peer_suspicions(suspicions, state_.time.now());
+    apply_changes(before);
+}
+
+void crash_watch::expire() {
+    const std::set<prompt_part_id> before = quarantine_.quarantined();
+    quarantine_.expire(state_.time.now());
+    apply_changes(before);
+}
+
+void crash_watch::apply_changes(const std::set<prompt_part_id>& before) {
+    const std::set<prompt_part_id>& current = quarantine_.quarantined();
+    if (current == before) {
+        return;
+    }
+    for (const prompt_part_id& part : before) {
+        if (!current.contains(part)) {
+            state_.log.write(prompt_part_cleared, {{"part", part.str()}});
+        }
+    }
+    bool has_new = false;
+    for (const prompt_part_id& part : current) {
+        if (!before.contains(part)) {
+            has_new = true;
+            state_.log.write(prompt_part_quarantined,
+                             {{"part", part.str()},
+                              {"crashes", absl::StrCat(quarantine_.separate_crashes(part))}});
+        }
+    }
+    if (!has_new) {
+        return;
+    }
+    const auto running = state_.running_calls;
+    for (const auto& call : running) {
+        if (quarantine_.is_blocked(call->prompt_parts())) {
+            call->stop_before_answer();
+        }
+    }
+}
+
+} // namespace jujubetide
--- /dev/null
+++ b/src/node/crash_watch.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "jujubetide/base/units.h"
+#include "jujubetide/net/connect_check.h"
+#include "jujubetide/serving/backend_list.h"
+#include "jujubetide/serving/prompt_quarantine.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace jujubetide {
+
+struct serving_state;
+
+/// Finds out which engines crash under calls, and keeps calls whose prompts crash engines from
+/// being sent. Must not be destroyed from one of its handlers.
+class crash_watch {
+public:
+    /// A server that accepts no connection for this long after it broke one off has crashed.
+    static constexpr micros connect_timeout{100'000};
+
+    /// `state` must outlive this object.
+    explicit crash_watch(serving_state& state);
+
+    /// The connection to `server` broke before it began to answer a call with `parts`. Calls `done`
+    /// once it is known whether the server has crashed.
+    void on_broken(const backend_server& server, std::vector<prompt_part> parts,
+                   std::function<void()> done);
+    void on_answered(std::span<const prompt_part> parts);
+    /// The time after which the caller may try again, if the call must not be sent.
+    [[nodiscard]] std::optional<micros> refusal(std::span<const prompt_part> parts);
+
+    [[nodiscard]] std::vector<prompt_suspicion> suspicions() const;
+    void on_peer_suspicions(std::span<const prompt_suspicion> suspicions);
+    /// The handler is called when the node has evidence that its peers should know at once.
+    void on_evidence(std::function<void()> handler) { on_evidence_ = std::move(handler); }
+    void expire();
+    [[nodiscard]] std::size_t quarantined_parts() const { return quarantine_.quarantined().size(); }
+
+private:
+    struct waiting_call {
+        std::vector<prompt_part> parts;
+        std::function<void()> done;
+    };
+    struct running_check {
+        std::unique_ptr<connect_check> check;
+        std::vector<waiting_call> calls;
+    };
+
+    void on_checked(const server_run_id& run, bool is_reachable);
+    /// Logs what changed in the quarantine since `before`, and stops running calls that are blocked
+    /// now.
+    void apply_changes(const std::set<prompt_part_id>& before);
+
+    serving_state& state_;
+    prompt_quarantine quarantine_;
+    std::map<server_run_id, running_check> checks_;
+    std::vector<std::unique_ptr<connect_check>> finished_checks_;
+    std::function<void()> on_evidence_;
+};
+
+} // namespace jujubetide
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -151,6 +151,7 @@
     });
     parts->peers->on_newer_table(
         [service = parts->peer_answers.get()] { service->fetch_missing(); });
+    parts->state.crashes.on_evidence([peers = parts->peers.get()] { peers->send_heartbeat(); });
     parts->feeds = std::make_unique<table_follow_policy>(
         parts->state, *parts->peers, parts->config_follower,
         std::vector{&parts->registration_follower, parts->peer_follower.get()});
@@ -197,6 +198,7 @@
                                              [this] { components_->registrations.expire(); });
     components_->cleaning = state.timers.every(cleaning_period, cleaning_period, [this] {
         components_->state.prompts.expire(components_->state.time.now());
+        components_->state.crashes.expire();
         if (components_->lease->is_held()) {
             components_->peers->remove_dead_rows();
         }
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -27,6 +27,10 @@
 inline constexpr log_event server_gone{7033, log_severity::info, "server_gone"};
 inline constexpr log_event registration_rejected{7034, log_severity::warning,
                                                  "registration_rejected"};
+inline constexpr log_event server_crashed{7035, log_severity::warning, "server_crashed"};
+inline constexpr log_event prompt_part_quarantined{7036, log_severity::warning,
+                                                   "prompt_part_quarantined"};
+inline constexpr log_event prompt_part_cleared{7037, log_severity::info, "prompt_part_cleared"};
 inline constexpr log_event peer_found{7040, log_severity::info, "peer_found"};
 inline constexpr log_event peer_lost{7041, log_severity::warning, "peer_lost"};
 inline constexpr log_event peer_message_rejected{7042, log_severity::warning,
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -140,6 +140,7 @@
     heartbeat.loads = state_.loads.own();
     heartbeat.readings = state_.prompts.take_updates();
     heartbeat.demand = state_.demand.busy_servers(state_.time.now());
+    heartbeat.suspicions = state_.crashes.suspicions();
     const std::string bytes = encode(heartbeat);
     for (const auto& [node, other] : peers_) {
         socket_->send(other.record.peers, bytes);
@@ -200,6 +201,7 @@
     for (const cached_prefix& reading : heartbeat->readings) {
         state_.prompts.on_prefix_cached(reading.key, reading.server, now);
     }
+    state_.crashes.on_peer_suspicions(heartbeat->suspicions);
     if (on_newer_table_ && has_newer_table(sender)) {
         on_newer_table_();
     }
--- a/src/node/peer_heartbeat.cc
+++ b/src/node/peer_heartbeat.cc
@@ -12,6 +12,32 @@
 /// First element of each heartbeat; incremented when the format changes.
 constexpr int heartbeat_format = 2;
 
+/// In place of the time since an answer, where there was none.
+constexpr std::int64_t no_answer = -1;
+
+json to_json(const prompt_suspicion& suspicion) {
+    json crashes = json::array();
+    for (const prompt_suspicion::crash& crash : suspicion.crashes) {
+        crashes.push_back({crash.run.str(), to_millis(crash.age).count()});
+    }
+    return {suspicion.part.str(),
+            suspicion.since_answer ? to_millis(*suspicion.since_answer).count() : no_answer,
+            std::move(crashes)};
+}
+
+prompt_suspicion to_suspicion(const json& item) {
+    prompt_suspicion suspicion;
+    suspicion.part = prompt_part_id(item.at(0).get<std::string>());
+    if (const auto since = item.at(1).get<std::int64_t>(); since != no_answer) {
+        suspicion.since_answer = millis(since);
+    }
+    for (const json& crash : item.at(2)) {
+        suspicion.crashes.push_back({server_run_id(crash.at(0).get<std::string>()),
+                                     millis(crash.at(1).get<std::int64_t>())});
+    }
+    return suspicion;
+}
+
 } // namespace
 
 std::string encode(const peer_heartbeat& heartbeat) {
@@ -43,6 +69,10 @@
     for (const auto& [service, servers] : heartbeat.demand) {
         demand.push_back({service.str(), static_cast<float>(servers)});
     }
+    json suspicions = json::array();
+    for (const prompt_suspicion& suspicion : heartbeat.suspicions) {
+        suspicions.push_back(to_json(suspicion));
+    }
     const json body = {heartbeat_format,
                        heartbeat.node.str(),
                        heartbeat.start.value(),
@@ -60,7 +90,8 @@
                        std::move(usage),
                        std::move(loads),
                        std::move(demand),
-                       std::move(readings)};
+                       std::move(readings),
+                       std::move(suspicions)};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -111,6 +142,11 @@
             heartbeat.readings.push_back({prefix_key(item.at(0).get<std::uint64_t>()),
                                           backend_server_id(item.at(1).get<std::string>())});
         }
+        if (index < body.size()) { // Nodes of earlier releases do not send these.
+            for (const json& item : body.at(index++)) {
+                heartbeat.suspicions.push_back(to_suspicion(item));
+            }
+        }
         return heartbeat;
     } catch (const json::exception& error) {
         return absl::InvalidArgumentError(
--- a/src/node/peer_heartbeat.h
+++ b/src/node/peer_heartbeat.h
@@ -3,6 +3,7 @@
 #include "jujubetide/base/ids.h"
 #include "jujubetide/serving/load_tracker.h"
 #include "jujubetide/serving/prefix_cache_tracker.h"
+#include "jujubetide/serving/prompt_quarantine.h"
 #include "jujubetide/serving/usage_cap.h"
 #include "jujubetide/serving/usage_ledger.h"
 
@@ -44,6 +45,8 @@
     std::vector<cached_prefix> readings;
     /// Number of servers that each service needs for its calls at this node.
     std::map<service_id, double> demand;
+    /// Prompt parts that crash engines, or may.
+    std::vector<prompt_suspicion> suspicions;
 };
 
 std::string encode(const peer_heartbeat& heartbeat);
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -37,6 +37,8 @@
 /// Engine priorities: callers' priorities count from 0, the engines' default is 5.
 constexpr int first_engine_priority = 2;
 constexpr int last_engine_priority = 9;
+/// An engine that crashes on a prompt does so within this time of the first event.
+constexpr micros engine_survival_time{100'000};
 /// Maximum size of a response that is not streamed.
 constexpr std::size_t max_response_bytes = 16U << 20U;
 
@@ -182,6 +184,15 @@
 }
 
 void proxied_call::try_next_server() {
+    if (const auto wait = state_.crashes.refusal(request_.fields.prompt_parts)) {
+        last_cause_ = "crashing_prompt";
+        if (progress_.may_have_run) {
+            apply_step(retry_policy::fallback_step(progress_, last_outcome_), last_outcome_);
+        } else {
+            refuse(last_cause_, *wait);
+        }
+        return;
+    }
     if (time_left() < min_time_for_attempt) {
         apply_step(retry_policy::fallback_step(progress_, last_outcome_), last_outcome_);
         return;
@@ -206,6 +217,7 @@
     choice_.server = &server_;
     has_response_head_ = false;
     attempt_has_events_ = false;
+    has_engine_survived_ = false;
     response_body_.clear();
     event_splitter_.discard_incomplete();
     tried_servers_.push_back(server_.id);
@@ -325,6 +337,9 @@
         state_.engines.on_first_event(choice_, last_event_at_ - sent_at_);
         count_usage_once();
     }
+    if (last_event_at_ - sent_at_ - first_event_latency_ >= engine_survival_time) {
+        check_engine_survived();
+    }
     if (!progress_.has_begun) {
         begin_stream_response();
     }
@@ -362,6 +377,7 @@
     count_usage_once();
     if (is_success(response_head_.status)) {
         state_.health.on_success(server_.id, state_.time.now());
+        check_engine_survived();
         if (is_stream()) {
             if (!progress_.has_begun) {
                 begin_stream_response();
@@ -405,12 +421,49 @@
         on_attempt_failed(attempt_outcome::not_sent);
         return;
     }
-    on_attempt_failed(progress_.has_begun ? attempt_outcome::broken_midway
-                                          : attempt_outcome::broken);
+    on_connection_broken();
+}
+
+void proxied_call::on_connection_broken() {
+    const attempt_outcome outcome =
+        progress_.has_begun ? attempt_outcome::broken_midway : attempt_outcome::broken;
+    if (has_engine_survived_ || request_.fields.prompt_parts.size() < 2) {
+        on_attempt_failed(outcome);
+        return;
+    }
+    record_failed_attempt(outcome);
+    waits_for_crash_check_ = true;
+    const std::weak_ptr<proxied_call> weak = weak_from_this();
+    state_.crashes.on_broken(server_, request_.fields.prompt_parts, [weak, outcome] {
+        const auto call = weak.lock();
+        if (call && std::exchange(call->waits_for_crash_check_, false)) {
+            call->continue_after(outcome);
+        }
+    });
+}
+
+void proxied_call::check_engine_survived() {
+    if (!std::exchange(has_engine_survived_, true)) {
+        state_.crashes.on_answered(request_.fields.prompt_parts);
+    }
+}
+
+void proxied_call::stop_before_answer() {
+    if (call_ && !attempt_has_events_) {
+        record_failed_attempt(progress_.has_begun ? attempt_outcome::broken_midway
+                                                  : attempt_outcome::broken);
+        last_cause_ = "crashing_prompt";
+        apply_step(retry_policy::fallback_step(progress_, last_outcome_), last_outcome_);
+    }
 }
 
 void proxied_call::on_attempt_failed(attempt_outcome outcome) {
     const auto alive = shared_from_this();
+    record_failed_attempt(outcome);
+    continue_after(outcome);
+}
+
+void proxied_call::record_failed_attempt(attempt_outcome outcome) {
     const time_point now = state_.time.now();
     const micros duration = now - sent_at_;
     const bool began = attempt_has_events_;
@@ -448,6 +501,10 @@
                       {"server_calls", std::to_string(server_calls)},
                       {"parts", shared_part_ids(request_.fields.prompt_parts)},
                       {"servers_tried", std::to_string(progress_.servers_tried)}});
+}
+
+void proxied_call::continue_after(attempt_outcome outcome) {
+    const auto alive = shared_from_this();
     next_step step = retry_policy::decide(route_, progress_, outcome);
     if (step == next_step::resend && !can_resend(outcome)) {
         step = retry_policy::fallback_step(progress_, outcome);
@@ -581,6 +638,7 @@
                              {"servers_tried", std::to_string(progress_.servers_tried)},
                              {"config", std::to_string(config_->version())}});
     end_attempt();
+    waits_for_crash_check_ = false;
     deadline_timer_.reset();
     stall_timer_.reset();
     state_.running_calls.erase(alive);
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,12 @@
     proxied_call(serving_state& state, serving_config_ptr config, const serving_route& route,
                  const serving_customer* customer, request received);
     void begin();
+    /// The parts of the call's prompt, in order.
+    [[nodiscard]] std::span<const prompt_part> prompt_parts() const {
+        return request_.fields.prompt_parts;
+    }
+    /// Cancels the running attempt and fails the call, unless the answer has begun.
+    void stop_before_answer();
     /// Aborts the call because the node shuts down.
     void abandon();
 
@@ -57,6 +64,12 @@
     void begin_stream_response();
     void forward_response();
     void on_attempt_failed(attempt_outcome outcome);
+    /// The connection broke after the request was sent.
+    void on_connection_broken();
+    void record_failed_attempt(attempt_outcome outcome);
+    void continue_after(attempt_outcome outcome);
+    /// Records once that the engine survived the start of the answer.
+    void check_engine_survived();
     void apply_step(next_step step, attempt_outcome outcome);
     [[nodiscard]] bool can_resend(attempt_outcome outcome);
     void end_attempt();
@@ -98,6 +111,9 @@
     response_fields response_fields_;
     bool has_response_head_ = false;
     bool attempt_has_events_ = false;
+    bool has_engine_survived_ = false;
+    /// Waits to learn whether the server of the last attempt has crashed.
+    bool waits_for_crash_check_ = false;
     std::string response_body_;
     event_splitter event_splitter_;
 
--- a/src/node/serving_state.h
+++ b/src/node/serving_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "node/crash_watch.h"
 #include "node/serving_metrics.h"
 
 #include "jujubetide/base/clock.h"
@@ -53,6 +54,7 @@
     backend_list backends;
     load_tracker loads;
     server_health health;
+    crash_watch crashes{*this};
     prefix_cache_tracker prompts;
     engine_placement engines{loads, health, prompts};
     least_running_placement plain{loads, health};
--- /dev/null
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -0,0 +1,184 @@
+#include "jujubetide/base/random_source.h"
+#include "jujubetide/serving/prompt_quarantine.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+namespace {
+
+std::vector<prompt_part> prompt(const std::vector<std::string>& ids) {
+    std::vector<prompt_part> parts;
+    for (const std::string& id : ids) {
+        parts.push_back({id, 100});
+    }
+    return parts;
+}
+
+time_point at(int ms) {
+    return time_point{} + std::chrono::hours(1) + millis(ms);
+}
+
+server_run_id run(int number) {
+    return server_run_id("i-" + std::to_string(number) + "/1");
+}
+
+const std::vector<prompt_part> bad = prompt({"shared", "bad", "own"});
+const std::vector<prompt_part> good = prompt({"shared", "good", "own"});
+
+struct quarantine_fixture {
+    seeded_random random{1};
+    prompt_quarantine quarantine{random};
+};
+
+} // namespace
+
+TEST_CASE("a part is quarantined by two separate crashes, not by one") {
+    quarantine_fixture fixture;
+    fixture.quarantine.on_answered(good, at(0));
+    fixture.quarantine.on_crash(run(1), bad, at(1'000));
+    CHECK_FALSE(fixture.quarantine.is_blocked(bad));
+    fixture.quarantine.on_crash(run(2), bad, at(2'000));
+    CHECK(fixture.quarantine.is_blocked(bad));
+    CHECK_FALSE(fixture.quarantine.is_blocked(good));
+    CHECK_FALSE(fixture.quarantine.is_blocked(prompt({"bad"}))); // The last part.
+    CHECK_FALSE(fixture.quarantine.is_blocked({}));
+}
+
+TEST_CASE("engines that crash at the same moment do not quarantine what waited there") {
+    quarantine_fixture fixture;
+    for (int i = 1; i <= 3; ++i) {
+        fixture.quarantine.on_crash(run(i), bad, at(1'000 + i * 10));
+    }
+    CHECK_FALSE(fixture.quarantine.is_blocked(bad));
+    fixture.quarantine.on_crash(run(4), bad, at(1'050));
+    CHECK(fixture.quarantine.is_blocked(bad));
+}
+
+TEST_CASE("several calls that wait at one crashed engine count as one crash") {
+    quarantine_fixture fixture;
+    for (int i = 0; i < 5; ++i) {
+        fixture.quarantine.on_crash(run(1), bad, at(1'000 + i * 500));
+    }
+    CHECK_FALSE(fixture.quarantine.is_blocked(bad));
+}
+
+TEST_CASE("an answer clears the parts of its call") {
+    quarantine_fixture fixture;
+    fixture.quarantine.on_crash(run(1), bad, at(1'000));
+    fixture.quarantine.on_answered(bad, at(1'500));
+    fixture.quarantine.on_crash(run(2), bad, at(2'000));
+    fixture.quarantine.on_crash(run(3), bad, at(3'000));
+    CHECK_FALSE(fixture.quarantine.is_blocked(bad)); // Answered before: needs three crashes.
+    fixture.quarantine.on_crash(run(4), bad, at(4'000));
+    CHECK(fixture.quarantine.is_blocked(bad));
+    fixture.quarantine.on_answered(bad, at(4'500));
+    CHECK_FALSE(fixture.quarantine.is_blocked(bad));
+}
+
+TEST_CASE("a part that waited beside the crashing one does not block other calls") {
+    quarantine_fixture fixture;
+    fixture.quarantine.on_crash(run(1), bad, at(1'000));
+    fixture.quarantine.on_crash(run(2), bad, at(2'000));
+    CHECK(fixture.quarantine.quarantined().size() == 2);
+    CHECK(fixture.quarantine.is_blocked(bad));
+    CHECK_FALSE(fixture.quarantine.is_blocked(good));
+    fixture.quarantine.on_answered(good, at(2'500));
+    CHECK(fixture.quarantine.quarantined() == std::set{prompt_part_id("bad")});
+    CHECK(fixture.quarantine.is_blocked(prompt({"other", "bad", "own"})));
+}
+
+TEST_CASE("a call that waited at engines which another call crashed is not blocked") {
+    quarantine_fixture fixture;
+    const auto victim = prompt({"rare", "own"});
+    for (int i = 1; i <= 3; ++i) {
+        fixture.quarantine.on_crash(run(i), bad, at(i * 1'000));
+        if (i < 3) {
+            fixture.quarantine.on_crash(run(i), victim, at(i * 1'000));
+        }
+    }
+    CHECK(fixture.quarantine.is_blocked(bad));
+    CHECK_FALSE(fixture.quarantine.is_blocked(victim));
+}
+
+TEST_CASE("nodes quarantine a part by their common evidence, and clear it by one's answer") {
+    quarantine_fixture one;
+    quarantine_fixture two;
+    one.quarantine.on_crash(run(1), bad, at(1'000));
+    two.quarantine.on_crash(run(2), bad, at(1'600));
+    one.quarantine.on_peer_suspicions(two.quarantine.suspicions(at(1'700)), at(1'700));
+    two.quarantine.on_peer_suspicions(one.quarantine.suspicions(at(1'700)), at(1'700));
+    CHECK(one.quarantine.is_blocked(bad));
+    CHECK(two.quarantine.is_blocked(bad));
+    one.quarantine.on_answered(bad, at(2'000));
+    two.quarantine.on_peer_suspicions(one.quarantine.suspicions(at(2'100)), at(2'100));
+    CHECK_FALSE(two.quarantine.is_blocked(bad));
+    // Evidence from before the answer does not come back.
+    one.quarantine.on_peer_suspicions(
+        std::vector{prompt_suspicion{prompt_part_id("bad"),
+                                     std::nullopt,
+                                     {{run(1), micros{2'000'000}}, {run(2), micros{1'400'000}}}}},
+        at(3'000));
+    CHECK_FALSE(one.quarantine.is_blocked(bad));
+}
+
+TEST_CASE("a crash that peers report late is not counted twice") {
+    quarantine_fixture fixture;
+    fixture.quarantine.on_crash(run(1), bad, at(1'000));
+    const std::vector<prompt_suspicion> late{
+        {prompt_part_id("bad"), std::nullopt, {{run(1), micros{0}}}}};
+    fixture.quarantine.on_peer_suspicions(late, at(9'000));
+    CHECK(fixture.quarantine.separate_crashes(prompt_part_id("bad")) == 1);
+    CHECK_FALSE(fixture.quarantine.is_blocked(bad));
+}
+
+TEST_CASE("a node that starts later learns of quarantined parts") {
+    quarantine_fixture fixture;
+    fixture.quarantine.on_crash(run(1), bad, at(1'000));
+    fixture.quarantine.on_crash(run(2), bad, at(2'000));
+    quarantine_fixture started;
+    started.quarantine.on_peer_suspicions(fixture.quarantine.suspicions(at(20'000)), at(20'000));
+    CHECK(started.quarantine.is_blocked(bad));
+}
+
+TEST_CASE("one trial at a time follows a quarantine, later after each crash") {
+    quarantine_fixture fixture;
+    fixture.quarantine.on_crash(run(1), bad, at(0));
+    fixture.quarantine.on_crash(run(2), bad, at(1'000));
+    const auto wait = fixture.quarantine.admit(bad, at(1'000));
+    REQUIRE(wait);
+    CHECK(*wait >= prompt_quarantine::quarantine_time(2));
+    CHECK(*wait <= prompt_quarantine::quarantine_time(2) * 3 / 2);
+    const time_point trial = at(1'000) + *wait;
+    CHECK_FALSE(fixture.quarantine.admit(bad, trial));
+    CHECK(fixture.quarantine.admit(bad, trial) == prompt_quarantine::trial_interval);
+    fixture.quarantine.on_crash(run(3), bad, trial + millis{500});
+    const auto longer = fixture.quarantine.admit(bad, trial + millis{500});
+    REQUIRE(longer);
+    CHECK(*longer >= prompt_quarantine::quarantine_time(3));
+    CHECK(prompt_quarantine::quarantine_time(3) > prompt_quarantine::quarantine_time(2));
+}
+
+TEST_CASE("old evidence and many parts do not use memory for ever") {
+    quarantine_fixture fixture;
+    fixture.quarantine.on_crash(run(1), bad, at(0));
+    fixture.quarantine.on_crash(run(2), bad, at(1'000));
+    for (int i = 0; i < 20'000; ++i) {
+        fixture.quarantine.on_answered(prompt({"part" + std::to_string(i), "own"}), at(2'000 + i));
+    }
+    CHECK(fixture.quarantine.is_blocked(bad));
+    fixture.quarantine.expire(at(3'000) + prompt_quarantine::evidence_lifetime);
+    CHECK_FALSE(fixture.quarantine.is_blocked(bad));
+    CHECK(fixture.quarantine.suspicions(at(2'000) + prompt_quarantine::evidence_lifetime).empty());
+}
+
+TEST_CASE("long part ids are told apart") {
+    quarantine_fixture fixture;
+    const std::string base(5'000, 'a');
+    const auto one = prompt({base + "1", "own"});
+    fixture.quarantine.on_crash(run(1), one, at(0));
+    fixture.quarantine.on_crash(run(2), one, at(1'000));
+    CHECK(fixture.quarantine.is_blocked(one));
+    CHECK_FALSE(fixture.quarantine.is_blocked(prompt({base + "2", "own"})));
+    CHECK(fixture.quarantine.quarantined().begin()->str().size() < 64);
+}
