Treat a stream that ends inside an event as broken off

Callers got a stream as whole although its engine had ended inside an event, when the answer came with neither a length nor chunks: the end of the connection was taken for the end of the stream and the rest of the event was sent on. A stream of that framing without any event became an empty success.

Cause: the splitter's rest was written out at the end of every stream. Now a stream with a rest, or without any event where only the connection's end ends it, counts as broken: it is resumed where the route allows it, aborted otherwise, and the engine is checked for a crash like after any broken connection.

--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -375,6 +375,10 @@
         return;
     }
     count_usage_once();
+    if (is_cut_stream()) {
+        on_connection_broken();
+        return;
+    }
     if (is_success(response_head_.status)) {
         state_.health.on_success(server_.id, state_.time.now());
         check_engine_survived();
@@ -382,7 +386,6 @@
             if (!progress_.has_begun) {
                 begin_stream_response();
             }
-            request_.exchange->write(event_splitter_.incomplete());
             request_.exchange->finish();
             finish(call_ended, response_head_.status, "whole");
             return;
@@ -403,6 +406,16 @@
     forward_response();
 }
 
+bool proxied_call::is_cut_stream() const {
+    if (!is_stream() || !is_success(response_head_.status)) {
+        return false;
+    }
+    // The end of a connection shows only by its position whether the stream was complete.
+    const bool ended_before_events =
+        !attempt_has_events_ && response_head_.framing == body_framing::until_close;
+    return ended_before_events || !event_splitter_.incomplete().empty();
+}
+
 void proxied_call::forward_response() {
     const body_framing framing =
         response_head_.framing == body_framing::none ? body_framing::none : body_framing::length;
--- a/tests/node/node_fixture.cc
+++ b/tests/node/node_fixture.cc
@@ -139,12 +139,12 @@
     call.exchange->respond(status, headers, body);
 }
 
-void begin_events(scripted_call& call) {
+void begin_events(scripted_call& call, body_framing framing) {
     header_list headers;
     headers.add("X-Attempt-Id", std::string(call.head.headers.find("X-Attempt-Id").value_or("")));
     headers.add("X-Upstream-Signature", "signed");
     headers.add("Content-Type", "text/event-stream");
-    call.exchange->begin(200, headers, body_framing::chunked, 0);
+    call.exchange->begin(200, headers, framing, 0);
 }
 
 std::string event_text(int id) {
--- a/tests/node/node_fixture.h
+++ b/tests/node/node_fixture.h
@@ -102,7 +102,7 @@
 /// Sends a complete signed response.
 void answer(scripted_call& call, int status, const std::string& body);
 /// Begins a signed event stream.
-void begin_events(scripted_call& call);
+void begin_events(scripted_call& call, body_framing framing = body_framing::chunked);
 std::string event_text(int id);
 
 } // namespace jujubetide
--- a/tests/node/node_streams_test.cc
+++ b/tests/node/node_streams_test.cc
@@ -82,6 +82,45 @@
     CHECK(got.body == events_between(1, 5));
 }
 
+TEST_CASE("a stream that ends with its connection inside an event is broken off, not finished") {
+    node_fixture fixture;
+    fixture.start();
+    fixture.add_server("i-1", "model", [](scripted_call& call) {
+        begin_events(call, body_framing::until_close);
+        call.exchange->write(event_text(1) + "id: 2\nda");
+        call.exchange->finish();
+    });
+    const recorded_call got = fixture.call("/stream/");
+    CHECK_FALSE(got.whole);
+    CHECK(got.body == event_text(1));
+}
+
+TEST_CASE("a stream that ends with its connection inside an event is resumed where it may be") {
+    node_fixture fixture;
+    fixture.start();
+    const auto script = [](scripted_call& call) {
+        const auto last = call.head.headers.find("Last-Event-Id");
+        begin_events(call, body_framing::until_close);
+        call.exchange->write(last ? events_between(2, 3) : event_text(1) + "id: 2\nda");
+        call.exchange->finish();
+    };
+    fixture.add_server("i-1", "model", script);
+    fixture.add_server("i-2", "model", script);
+    const recorded_call got = fixture.call("/resumed/");
+    CHECK(got.whole);
+    CHECK(got.body == events_between(1, 3));
+}
+
+TEST_CASE("a stream that ends with its connection before any event is not an empty success") {
+    node_fixture fixture;
+    fixture.start();
+    fixture.add_server("i-1", "model", [](scripted_call& call) {
+        begin_events(call, body_framing::until_close);
+        call.exchange->finish();
+    });
+    CHECK(fixture.call("/stream/").head.status == 502);
+}
+
 TEST_CASE("a stream whose server stalls is resumed at another server") {
     node_fixture fixture;
     fixture.start({{"resumed", {{"timeoutMs", 10'000}}}});
