Bound the bytes that a call accepts before its own response

A backend server that sends interim responses, or responses to other calls, without end held a plain call until its deadline: nothing counted what came before the call's own response. Found by a table of 13 kinds of endless bytes (no HTTP, endless status line, header line, header lines, interim answers, answers to other calls, bodies with and without length, chunk sizes, trailers, unsigned refusal), for plain calls and streams; the other 12 kinds were bounded already (parser limits, 16 MB for an answer, the size of an event).

Now a call fails after 1 MiB that is not part of its own response, and may go to a second server. The case 'interim answers at /often/' ran into its 20 s timeout before, the longest now ends within half of it, and the connection to the server is closed.

--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -17,6 +17,8 @@
 constexpr double usable_keep_alive_fraction = 0.5;
 /// Idle connections retained for one server.
 constexpr std::size_t max_idle_per_server = 32;
+/// Bytes that a call accepts before its own response: interim and late responses.
+constexpr std::size_t max_bytes_before_response = std::size_t{1} << 20U;
 
 /// The idle time in `Keep-Alive: timeout=SECONDS`, if present.
 std::optional<micros> keep_alive_timeout(const header_list& headers) {
@@ -80,6 +82,8 @@
     bool keep_alive_ = false;
     bool skipping_response_ = false;
     bool informational_response_ = false;
+    /// Bytes of the current call that were not part of its own response.
+    std::size_t bytes_before_response_ = 0;
     time_point idle_since_{};
     micros max_idle_ = micros::max();
 };
@@ -156,6 +160,7 @@
     request_ = std::move(request);
     keep_alive_ = false;
     skipping_response_ = false;
+    bytes_before_response_ = 0;
     parser_.restart();
     const std::weak_ptr<pooled_connection> weak_self = weak_from_this();
     if (options.timeout > micros{0}) {
@@ -198,8 +203,13 @@
         return;
     }
     while (!bytes.empty() && state_ == state::active) {
-        bytes.remove_prefix(std::min(parser_.feed(bytes), bytes.size()));
-        if (parser_.state() == parse_state::malformed) {
+        const std::size_t consumed = std::min(parser_.feed(bytes), bytes.size());
+        bytes.remove_prefix(consumed);
+        if (skipping_response_ || informational_response_ || !parser_.is_head_complete()) {
+            bytes_before_response_ += consumed;
+        }
+        if (parser_.state() == parse_state::malformed ||
+            bytes_before_response_ > max_bytes_before_response) {
             fail(call_failure::response_failed);
             return;
         }
@@ -210,6 +220,7 @@
             // A response to an earlier request; after one the connection is not reused.
             keep_alive_ = keep_alive_ && informational_response_;
             skipping_response_ = false;
+            informational_response_ = false;
             parser_.restart();
             continue;
         }
