Log the limit that a server names

Callers saw nothing yet; engines got more than they had named. The logs could not tell whether a node knew of a limit. The header is decoded once, in platform/, and call_ended and attempt_over have server_limit.

--- a/include/jujubetide/node/call_codec.h
+++ b/include/jujubetide/node/call_codec.h
@@ -55,6 +55,10 @@
     bool wrong_server = false;
     /// The body has a content encoding, which callers never request.
     bool is_encoded = false;
+    /// Calls per second that the server takes from all nodes together, if it names a limit.
+    std::optional<double> calls_per_second;
+    /// A limit was sent that is not a number of calls per second.
+    bool has_malformed_limit = false;
 };
 
 /// Converts between HTTP headers of callers and backend servers and the node's fields.
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -70,6 +70,12 @@
     return ids;
 }
 
+/// The limit that the server named, in calls per second.
+std::string limit_text(const response_fields& fields) {
+    return fields.calls_per_second ? absl::StrCat(*fields.calls_per_second)
+                                   : (fields.has_malformed_limit ? "malformed" : "-");
+}
+
 std::string_view name_of(body_framing framing) {
     switch (framing) {
     case body_framing::none:
@@ -216,6 +222,7 @@
     choice_ = choice;
     choice_.server = &server_;
     has_response_head_ = false;
+    response_fields_ = {};
     attempt_has_events_ = false;
     has_engine_survived_ = false;
     response_body_.clear();
@@ -512,6 +519,7 @@
                       {"ms", ms_text(duration)},
                       {"began", began ? "yes" : "no"},
                       {"server_calls", std::to_string(server_calls)},
+                      {"server_limit", limit_text(response_fields_)},
                       {"parts", shared_part_ids(request_.fields.prompt_parts)},
                       {"servers_tried", std::to_string(progress_.servers_tried)}});
 }
@@ -648,6 +656,7 @@
                              {"parts", shared_part_ids(request_.fields.prompt_parts)},
                              {"events", std::to_string(event_splitter_.event_count())},
                              {"framing", std::string(name_of(response_head_.framing))},
+                             {"server_limit", limit_text(response_fields_)},
                              {"servers_tried", std::to_string(progress_.servers_tried)},
                              {"config", std::to_string(config_->version())}});
     end_attempt();
--- a/tests/adapter/call_headers_test.cc
+++ b/tests/adapter/call_headers_test.cc
@@ -115,6 +115,25 @@
     CHECK(codec.read_response(head).attempt_id == "id");
 }
 
+TEST_CASE("a server's limit is decoded as calls per second, and nonsense is reported as such") {
+    const platform::call_headers codec;
+    const auto read = [&codec](const std::string& value) {
+        response_head head;
+        head.headers.add("Server-Limit", value);
+        return codec.read_response(head);
+    };
+    CHECK(read("1.25").calls_per_second == 1.25);
+    CHECK(read(" 40 ").calls_per_second == 40.0);
+    CHECK(read("0").calls_per_second == 0.0);
+    for (const char* value : {"", "-1", "nan", "inf", "1e999", "many", "1,5", "1.0 2.0"}) {
+        INFO(value);
+        CHECK_FALSE(read(value).calls_per_second);
+        CHECK(read(value).has_malformed_limit);
+    }
+    CHECK_FALSE(codec.read_response({}).calls_per_second);
+    CHECK_FALSE(codec.read_response({}).has_malformed_limit);
+}
+
 TEST_CASE("Retry-After gives the delay in seconds") {
     const platform::call_headers codec;
     CHECK(codec.local_response_headers("id", millis{1'250}).find("Retry-After") == "1.250");
