--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -268,6 +268,7 @@
     now.registry_away = components_->registration_follower.is_store_unavailable();
     now.follows_tables = components_->registration_follower.is_following();
     now.server_connections_made = state.client.connections_opened();
+    now.quarantined_parts = state.crashes.quarantined_parts();
     return state.metrics.text(now);
 }
 
--- a/src/node/serving_metrics.h
+++ b/src/node/serving_metrics.h
@@ -43,6 +43,8 @@
         bool registry_away = false;
         bool follows_tables = false;
         std::uint64_t server_connections_made = 0;
+        /// Prompt parts that block the calls that have them.
+        std::size_t quarantined_parts = 0;
     };
     /// All metrics in the Prometheus text format.
     [[nodiscard]] std::string text(const snapshot& now);
