Keep calls within the limit that a server names

Callers saw nothing directly; engines in need got 13 to 17 requests in 4 s where 12 to 16 were allowed, from all nodes together.

Cause: the header was not read; nothing in the choice of a server knew of it. Class: what a peer says about itself is passed on unread. Ruled out with the named limits in the log lines: repeats (none among the excess), and single nodes (six or seven nodes each near their share).

Change: server_limits cuts time into slots of one call; each belongs to one node by rendezvous weight, or is divided where the limit allows each node several calls. Nodes tell each other what they last read in the heartbeat, whose format stays readable for earlier releases. A server out of slots is no candidate; if all are, the call is refused at once as not run.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -269,6 +269,7 @@
     now.follows_tables = components_->registration_follower.is_following();
     now.server_connections_made = state.client.connections_opened();
     now.quarantined_parts = state.crashes.quarantined_parts();
+    now.limited_servers = state.limits.limited_servers();
     return state.metrics.text(now);
 }
 
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -31,6 +31,10 @@
 inline constexpr log_event prompt_part_quarantined{7036, log_severity::warning,
                                                    "prompt_part_quarantined"};
 inline constexpr log_event prompt_part_cleared{7037, log_severity::info, "prompt_part_cleared"};
+inline constexpr log_event server_limit_named{7038, log_severity::info, "server_limit_named"};
+inline constexpr log_event server_limit_ended{7039, log_severity::info, "server_limit_ended"};
+inline constexpr log_event server_limit_rejected{7043, log_severity::warning,
+                                                 "server_limit_rejected"};
 inline constexpr log_event peer_found{7040, log_severity::info, "peer_found"};
 inline constexpr log_event peer_lost{7041, log_severity::warning, "peer_lost"};
 inline constexpr log_event peer_message_rejected{7042, log_severity::warning,
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -141,6 +141,7 @@
     heartbeat.readings = state_.prompts.take_updates();
     heartbeat.demand = state_.demand.busy_servers(state_.time.now());
     heartbeat.suspicions = state_.crashes.suspicions();
+    heartbeat.server_limits = state_.limits.reports(state_.time.now());
     const std::string bytes = encode(heartbeat);
     for (const auto& [node, other] : peers_) {
         socket_->send(other.record.peers, bytes);
@@ -202,11 +203,19 @@
         state_.prompts.on_prefix_cached(reading.key, reading.server, now);
     }
     state_.crashes.on_peer_suspicions(heartbeat->suspicions);
+    apply_server_limits(heartbeat->server_limits);
     if (on_newer_table_ && has_newer_table(sender)) {
         on_newer_table_();
     }
 }
 
+void peer_exchange::apply_server_limits(std::vector<server_limit_report> reports) {
+    std::erase_if(reports, [this](const server_limit_report& report) {
+        return state_.backends.find(report.server) == nullptr;
+    });
+    state_.limits.on_peer_reports(reports, state_.time.now());
+}
+
 bool peer_exchange::has_newer_table(const peer& other) const {
     const std::vector<row_version> own =
         table_versions_ ? table_versions_() : std::vector<row_version>();
@@ -245,10 +254,21 @@
         }
     }
     state_.nodes = peers_.size() + 1;
+    state_.limits.set_nodes(state_.settings.node, limit_sharers());
     state_.caps.set_nodes(live_nodes, state_.nodes, heartbeat_period * periods_per_heartbeat());
     state_.retries.set_max(retry_budget::share_of(state_.settings.retry_allowance, state_.nodes));
 }
 
+std::vector<node_id> peer_exchange::limit_sharers() const {
+    std::vector<node_id> sharers;
+    for (const auto& [node, other] : peers_) {
+        if (!other.is_leaving && !other.is_row_removed) {
+            sharers.push_back(node);
+        }
+    }
+    return sharers;
+}
+
 void peer_exchange::do_snapshot(const std::vector<stored_row>& rows, row_version) {
     for (auto& [node, other] : peers_) {
         other.is_row_removed = true;
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -126,6 +126,10 @@
     /// Adds usage and spending to a heartbeat: all of it at intervals and on shutdown, otherwise
     /// only recent changes.
     void add_usage(peer_heartbeat& heartbeat);
+    /// Applies what a peer read of the limits of servers that this node knows.
+    void apply_server_limits(std::vector<server_limit_report> reports);
+    /// The other nodes that may send calls to servers: a silent one may only be out of reach.
+    [[nodiscard]] std::vector<node_id> limit_sharers() const;
     /// Number of `heartbeat_period`s from one heartbeat to the next.
     [[nodiscard]] int periods_per_heartbeat() const;
     [[nodiscard]] bool has_newer_table(const peer& other) const;
--- a/src/node/peer_heartbeat.cc
+++ b/src/node/peer_heartbeat.cc
@@ -38,6 +38,22 @@
     return suspicion;
 }
 
+json to_json(const server_limit_report& report) {
+    return {report.server.str(),
+            report.calls_per_second ? json(*report.calls_per_second) : json(nullptr),
+            to_millis(report.age).count()};
+}
+
+server_limit_report to_limit_report(const json& item) {
+    server_limit_report report;
+    report.server = backend_server_id(item.at(0).get<std::string>());
+    if (!item.at(1).is_null()) {
+        report.calls_per_second = item.at(1).get<double>();
+    }
+    report.age = millis(item.at(2).get<std::int64_t>());
+    return report;
+}
+
 } // namespace
 
 std::string encode(const peer_heartbeat& heartbeat) {
@@ -73,6 +89,10 @@
     for (const prompt_suspicion& suspicion : heartbeat.suspicions) {
         suspicions.push_back(to_json(suspicion));
     }
+    json limits = json::array();
+    for (const server_limit_report& report : heartbeat.server_limits) {
+        limits.push_back(to_json(report));
+    }
     const json body = {heartbeat_format,
                        heartbeat.node.str(),
                        heartbeat.start.value(),
@@ -91,7 +111,8 @@
                        std::move(loads),
                        std::move(demand),
                        std::move(readings),
-                       std::move(suspicions)};
+                       std::move(suspicions),
+                       std::move(limits)};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -147,6 +168,11 @@
                 heartbeat.suspicions.push_back(to_suspicion(item));
             }
         }
+        if (index < body.size()) {
+            for (const json& item : body.at(index++)) {
+                heartbeat.server_limits.push_back(to_limit_report(item));
+            }
+        }
         return heartbeat;
     } catch (const json::exception& error) {
         return absl::InvalidArgumentError(
--- a/src/node/peer_heartbeat.h
+++ b/src/node/peer_heartbeat.h
@@ -4,6 +4,7 @@
 #include "jujubetide/serving/load_tracker.h"
 #include "jujubetide/serving/prefix_cache_tracker.h"
 #include "jujubetide/serving/prompt_quarantine.h"
+#include "jujubetide/serving/server_limits.h"
 #include "jujubetide/serving/usage_cap.h"
 #include "jujubetide/serving/usage_ledger.h"
 
@@ -47,6 +48,8 @@
     std::map<service_id, double> demand;
     /// Prompt parts that crash engines, or may.
     std::vector<prompt_suspicion> suspicions;
+    /// Limits that servers named in their last answers to this node.
+    std::vector<server_limit_report> server_limits;
 };
 
 std::string encode(const peer_heartbeat& heartbeat);
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -32,6 +32,8 @@
 constexpr micros stall_check_period{250'000};
 /// Minimum retry delay sent to a refused caller.
 constexpr micros min_retry_after{100'000};
+/// Maximum retry delay for a caller that was refused because of servers' limits.
+constexpr micros max_limited_retry_after{2'000'000};
 /// Server time per output token in a batch of usual size, in seconds.
 constexpr double seconds_per_output_token = 0.0009;
 /// Engine priorities: callers' priorities count from 0, the engines' default is 5.
@@ -168,12 +170,27 @@
         request_.fields.expected_output_tokens.value_or(request_.fields.max_output_tokens));
     query.tried = tried_servers_;
     query.now = state_.time.now();
-    const auto candidates = state_.backends.usable(service_->id);
-    candidate_count_ = candidates.size();
+    const std::vector<const backend_server*> servers = candidates();
+    candidate_count_ = servers.size();
     if (service_->engine) {
-        return state_.engines.choose(query, candidates);
+        return state_.engines.choose(query, servers);
     }
-    return state_.plain.choose(query, candidates);
+    return state_.plain.choose(query, servers);
+}
+
+std::vector<const backend_server*> proxied_call::candidates() {
+    std::vector<const backend_server*> servers = state_.backends.usable(service_->id);
+    limited_count_ = 0;
+    limited_interval_ = micros::max();
+    std::erase_if(servers, [this](const backend_server* server) {
+        if (state_.limits.may_send(server->id, state_.time.wall_now())) {
+            return false;
+        }
+        ++limited_count_;
+        limited_interval_ = std::min(limited_interval_, state_.limits.call_interval(server->id));
+        return true;
+    });
+    return servers;
 }
 
 bool proxied_call::would_miss_target(const placement_choice& choice) const {
@@ -204,6 +221,10 @@
         return;
     }
     const std::optional<placement_choice> choice = choose_server();
+    if (!choice && limited_count_ > 0 && !progress_.may_have_run) {
+        refuse_within_limits();
+        return;
+    }
     if (!choice) {
         last_cause_ = last_cause_.empty() ? "no_server" : last_cause_;
         apply_step(retry_policy::fallback_step(progress_, last_outcome_), last_outcome_);
@@ -217,6 +238,14 @@
     send(*choice);
 }
 
+void proxied_call::refuse_within_limits() {
+    // Callers that were refused together must not return together.
+    const double spread = 1.0 + state_.random.uniform();
+    const auto wait = std::chrono::duration<double, std::micro>(limited_interval_) * spread;
+    refuse("server_limits",
+           std::min(max_limited_retry_after, std::chrono::duration_cast<micros>(wait)));
+}
+
 void proxied_call::send(const placement_choice& choice) {
     server_ = *choice.server;
     choice_ = choice;
@@ -252,6 +281,7 @@
         state_.prompts.on_own_prefix_cached(prefix.key, server_.id, sent_at_);
     }
     state_.loads.on_sent(server_.id, choice_.prefill_tokens, choice_.held_tokens);
+    state_.limits.on_sent(server_.id, state_.time.wall_now());
     if (progress_.servers_tried == 0 && progress_.undelivered_sends == 0) {
         state_.demand.add(
             service_->id,
@@ -303,6 +333,7 @@
     }
     response_head_ = head;
     has_response_head_ = true;
+    read_server_limit();
     if (success &&
         (!is_for_this_call || !response_fields_.is_signed || response_fields_.is_encoded)) {
         on_attempt_failed(attempt_outcome::broken);
@@ -310,6 +341,25 @@
     return true;
 }
 
+void proxied_call::read_server_limit() {
+    if (response_fields_.has_malformed_limit) {
+        state_.log.write(server_limit_rejected, {{"server", server_.id.str()}});
+        return;
+    }
+    const std::optional<double> limit = response_fields_.calls_per_second;
+    if (state_.backends.find(server_.id) == nullptr ||
+        !state_.limits.on_answer(server_.id, limit, state_.time.now())) {
+        return;
+    }
+    if (limit) {
+        state_.log.write(server_limit_named, {{"server", server_.id.str()},
+                                              {"calls_per_second", absl::StrCat(*limit)},
+                                              {"nodes", std::to_string(state_.nodes)}});
+    } else {
+        state_.log.write(server_limit_ended, {{"server", server_.id.str()}});
+    }
+}
+
 void proxied_call::do_body(std::string_view bytes) {
     if (!has_response_head_) {
         return;
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -57,6 +57,11 @@
     [[nodiscard]] micros time_left() const;
     void choose_service();
     [[nodiscard]] std::optional<placement_choice> choose_server();
+    /// The servers of the call's service that may get a call now, within the limits they named.
+    [[nodiscard]] std::vector<const backend_server*> candidates();
+    /// Passes on what the server's answer says about its limit.
+    void read_server_limit();
+    void refuse_within_limits();
     [[nodiscard]] bool would_miss_target(const placement_choice& choice) const;
     void try_next_server();
     void send(const placement_choice& choice);
@@ -105,6 +110,10 @@
     backend_server server_;
     /// Number of usable servers at the last placement.
     std::size_t candidate_count_ = 0;
+    /// Servers that were not usable only because of the limits they named.
+    std::size_t limited_count_ = 0;
+    /// The shortest time in which one of these takes another call from all nodes together.
+    micros limited_interval_{0};
     placement_choice choice_;
     time_point sent_at_{};
     time_point last_event_at_{};
--- a/src/node/serving_metrics.cc
+++ b/src/node/serving_metrics.cc
@@ -97,6 +97,7 @@
     set("follows_tables", now.follows_tables ? 1.0 : 0.0);
     set("server_connections_made", static_cast<double>(now.server_connections_made));
     set("quarantined_parts", static_cast<double>(now.quarantined_parts));
+    set("limited_servers", static_cast<double>(now.limited_servers));
     return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/src/node/serving_metrics.h
+++ b/src/node/serving_metrics.h
@@ -45,6 +45,8 @@
         std::uint64_t server_connections_made = 0;
         /// Prompt parts that block the calls that have them.
         std::size_t quarantined_parts = 0;
+        /// Servers that name a limit on their calls.
+        std::size_t limited_servers = 0;
     };
     /// All metrics in the Prometheus text format.
     [[nodiscard]] std::string text(const snapshot& now);
--- a/src/node/serving_state.h
+++ b/src/node/serving_state.h
@@ -15,6 +15,7 @@
 #include "jujubetide/serving/engine_placement.h"
 #include "jujubetide/serving/load_tracker.h"
 #include "jujubetide/serving/server_health.h"
+#include "jujubetide/serving/server_limits.h"
 #include "jujubetide/serving/serving_config.h"
 #include "jujubetide/serving/usage_cap.h"
 #include "jujubetide/serving/usage_ledger.h"
@@ -53,6 +54,7 @@
     serving_config_ptr config;
     backend_list backends;
     load_tracker loads;
+    server_limits limits;
     server_health health;
     crash_watch crashes{*this};
     prefix_cache_tracker prompts;
--- a/src/node/table_observers.cc
+++ b/src/node/table_observers.cc
@@ -112,6 +112,7 @@
     if (previous != nullptr && previous->server.started_at_ms != server.started_at_ms) {
         state_.health.forget(server.id);
         state_.prompts.forget(server.id);
+        state_.limits.forget(server.id);
     }
     state_.backends.put(server);
 }
@@ -130,6 +131,7 @@
     for (const backend_server_id& id : state_.backends.expire(state_.time.now())) {
         state_.health.forget(id);
         state_.prompts.forget(id);
+        state_.limits.forget(id);
         state_.log.write(server_gone, {{"server", id.str()}});
     }
 }
--- a/tests/node/peer_heartbeat_test.cc
+++ b/tests/node/peer_heartbeat_test.cc
@@ -1,6 +1,7 @@
 #include "node/peer_heartbeat.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace jujubetide;
 
@@ -22,6 +23,11 @@
     heartbeat.loads[backend_server_id("i-1")] = {2, 300, 4'000};
     heartbeat.demand[service_id("s")] = 1.5;
     heartbeat.readings = {{prefix_key(99), backend_server_id("i-1")}};
+    heartbeat.suspicions = {
+        {prompt_part_id("p"), std::nullopt, {{server_run_id("i-1/5"), millis{40}}}},
+        {prompt_part_id("q"), millis{70}, {}}};
+    heartbeat.server_limits = {{backend_server_id("i-1"), 1.5, millis{30}},
+                               {backend_server_id("i-2"), std::nullopt, millis{20}}};
     const auto decoded = decode_heartbeat(encode(heartbeat));
     REQUIRE(decoded.ok());
     CHECK(decoded->node == heartbeat.node);
@@ -44,6 +50,38 @@
     CHECK(decoded->demand == heartbeat.demand);
     REQUIRE(decoded->readings.size() == 1);
     CHECK(decoded->readings[0].key == prefix_key(99));
+    REQUIRE(decoded->suspicions.size() == 2);
+    CHECK(decoded->suspicions[0].part == prompt_part_id("p"));
+    CHECK_FALSE(decoded->suspicions[0].since_answer);
+    REQUIRE(decoded->suspicions[0].crashes.size() == 1);
+    CHECK(decoded->suspicions[0].crashes[0].run == server_run_id("i-1/5"));
+    CHECK(decoded->suspicions[0].crashes[0].age == millis{40});
+    CHECK(decoded->suspicions[1].since_answer == millis{70});
+    REQUIRE(decoded->server_limits.size() == 2);
+    CHECK(decoded->server_limits[0].calls_per_second == 1.5);
+    CHECK(decoded->server_limits[0].age == millis{30});
+    CHECK_FALSE(decoded->server_limits[1].calls_per_second);
+}
+
+TEST_CASE("a heartbeat of an earlier release without the last fields is understood") {
+    peer_heartbeat heartbeat;
+    heartbeat.node = node_id("n1");
+    heartbeat.suspicions = {{prompt_part_id("p"), std::nullopt, {}}};
+    const std::string encoded = encode(heartbeat);
+    const auto list = nlohmann::json::from_msgpack(encoded);
+    for (const std::size_t missing : {1U, 2U}) {
+        nlohmann::json earlier = nlohmann::json::array();
+        for (std::size_t i = 0; i + missing < list.size(); ++i) {
+            earlier.push_back(list[i]);
+        }
+        const auto bytes = nlohmann::json::to_msgpack(earlier);
+        const auto decoded =
+            decode_heartbeat({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+        REQUIRE(decoded.ok());
+        CHECK(decoded->node == node_id("n1"));
+        CHECK(decoded->server_limits.empty());
+        CHECK(decoded->suspicions.size() == 2 - missing);
+    }
 }
 
 TEST_CASE("truncated or malformed heartbeats are rejected") {
--- a/tests/node/server_limit_test.cc
+++ b/tests/node/server_limit_test.cc
@@ -150,3 +150,40 @@
 TEST_CASE("a plain server that names a limit gets no more calls from all nodes together") {
     check_limit_is_kept("plain", "/often/");
 }
+
+TEST_CASE("a server whose limit has ended gets its share again at all nodes") {
+    limits_fixture fixture(3, "plain", "/often/");
+    fixture.servers[0]->limit = "2.0";
+    fixture.load(call_gap, millis{2'000});
+    fixture.servers[0]->limit = "";
+    fixture.load(call_gap, millis{3'000});
+    const time_point late = fixture.time.now() - millis{1'000};
+    CHECK(fixture.servers[0]->arrivals_since(late) >= 10); // Of 40 calls, by two servers.
+}
+
+TEST_CASE("a call is refused at once when every server is at its limit") {
+    limits_fixture fixture(1, "plain", "/once/");
+    fixture.servers[0]->limit = "0.5";
+    fixture.servers[1]->limit = "0.5";
+    fixture.load(call_gap, millis{1'000});
+    const time_point began = fixture.time.now();
+    recorded_call refused;
+    const auto sent = fixture.client.call(fixture.members[0]->instance->caller_endpoint(),
+                                          request_of_test("/once/", {}), {}, refused);
+    REQUIRE(run_until(fixture.loop, [&] { return refused.over(); }));
+    CHECK(refused.head.status == 503);
+    CHECK(refused.head.headers.has("Retry-After"));
+    CHECK(fixture.time.now() - began < millis{200});
+    CHECK(fixture.members[0]->log.lines.back().fields.at("cause") == "server_limits");
+}
+
+TEST_CASE("a limit that is no number is reported and changes nothing") {
+    limits_fixture fixture(1, "plain", "/often/");
+    fixture.servers[0]->limit = "lots";
+    fixture.servers[1]->limit = "-1";
+    fixture.load(call_gap, millis{500});
+    run_for(fixture.loop, millis{200});
+    CHECK(fixture.answered() == fixture.running.size());
+    CHECK(fixture.members[0]->log.count("server_limit_rejected") > 0);
+    CHECK(fixture.members[0]->log.count("server_limit_named") == 0);
+}
