--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -9,6 +9,7 @@
 
 std::vector<prompt_part> prompt(const std::vector<std::string>& ids) {
     std::vector<prompt_part> parts;
+    parts.reserve(ids.size());
     for (const std::string& id : ids) {
         parts.push_back({id, 100});
     }
