Take no call that a stopping node cannot complete

Cause: the end of a stop asked only whether calls run, not whether callers hold connections; and a stream whose head was sent before the stop left its connection open for further requests. Class: a resource that another party may still use is given up on the absence of work, not on its release.

--- a/src/http1/server_connection.cc
+++ b/src/http1/server_connection.cc
@@ -157,7 +157,8 @@
         connection_->write(last_chunk);
     }
     exchange_.reset();
-    if (!keep_alive_) {
+    // A response that began before the server began to close did not tell the caller to close.
+    if (!keep_alive_ || server_.closing_) {
         linger();
         return;
     }
--- a/src/node/caller_request_handler.cc
+++ b/src/node/caller_request_handler.cc
@@ -18,6 +18,8 @@
 constexpr int service_unavailable = 503;
 /// Retry delay for callers of a node that has no configuration yet.
 constexpr micros no_config_retry{500'000};
+/// Retry delay for callers of a node that stops: another node may take the call at once.
+constexpr micros stopping_retry{50'000};
 
 std::string json_error_body(std::string_view cause) {
     return absl::StrCat(R"({"error":")", absl::string_view(cause.data(), cause.size()), R"("})");
@@ -44,6 +46,10 @@
         refuse(*exchange, fields->attempt_id, service_unavailable, "no_config", no_config_retry);
         return nullptr;
     }
+    if (state_.refuses_calls) {
+        refuse(*exchange, fields->attempt_id, service_unavailable, "stopping", stopping_retry);
+        return nullptr;
+    }
     const serving_route* route = state_.config->find_route(fields->host, head.target);
     if (route == nullptr) {
         refuse(*exchange, fields->attempt_id, not_found, "no_route", {});
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -23,8 +23,8 @@
 constexpr micros expiry_period{200'000};
 /// How often a stopping node checks whether all calls have ended.
 constexpr micros stop_check_period{100'000};
-/// Connections are accepted for this long after the stop began, for callers that still have this
-/// node's address from the directory.
+/// Connections and calls are accepted for this long after the stop began, for callers that still
+/// have this node's address from the directory. Later calls are refused.
 constexpr micros accept_time_after_stop{2'500'000};
 /// A stopping node closes connections that had no request for this long; the first request of a
 /// new connection may be in transit.
@@ -110,7 +110,7 @@
     std::unique_ptr<timer_subscription> cleaning;
     std::unique_ptr<timer_subscription> stop_check;
     time_point stop_began{};
-    /// Time from the start of the stop to the last check that found running calls.
+    /// Time from the start of the stop to the last check that found calls or callers' connections.
     micros last_busy{0};
 };
 
@@ -224,8 +224,9 @@
     callers->close_idle(stopping_idle_timeout);
     if (since >= accept_time_after_stop) {
         callers->stop_accepting();
+        state.refuses_calls = true;
     }
-    if (!state.running_calls.empty()) {
+    if (!state.running_calls.empty() || callers->connections() > 0) {
         last_busy = since;
     }
     const bool all_answered = since >= accept_time_after_stop && since - last_busy >= flush_time;
--- a/src/node/serving_state.h
+++ b/src/node/serving_state.h
@@ -68,6 +68,8 @@
     /// Number of nodes that share the limits, including this one.
     std::size_t nodes = 1;
     bool stopping = false;
+    /// The stop began too long ago to complete further calls.
+    bool refuses_calls = false;
     /// Calls without a final response yet; the set owns them.
     absl::flat_hash_set<std::shared_ptr<proxied_call>> running_calls;
 };
--- a/tests/node/garbage_answers_test.cc
+++ b/tests/node/garbage_answers_test.cc
@@ -5,8 +5,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <csignal>
-
 using namespace jujubetide;
 
 namespace {
@@ -16,7 +14,6 @@
 public:
     endless_server(event_loop& loop, std::string first, std::string repeated)
         : loop_(loop), first_(std::move(first)), repeated_(std::move(repeated)) {
-        std::signal(SIGPIPE, SIG_IGN); // As the node's program does.
         while (repeated_.size() < write_bytes) {
             repeated_ += repeated_;
         }
