Give calls their final status at the end of a stop's grace period

Callers of calls that still ran when a stop's grace period was nearly over saw a closed connection, although nothing of their answer had been sent. Cause: the node was destroyed with its calls, which aborted every response. Now they get 504 (503 if nothing was sent to a server), begun answers are broken off, and the loop ends one check later, when the responses are out; calls_abandoned counts them.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -87,6 +87,7 @@
             make_http1_limits(state.config->limits(), state.settings.max_descriptors));
     }
     void check_stop();
+    void abandon_calls();
 
     serving_state state;
     instrumented_row_store store;
@@ -219,6 +220,14 @@
                                                  [this] { components_->check_stop(); });
 }
 
+void node::components::abandon_calls() {
+    const auto running = state.running_calls;
+    state.log.write(calls_abandoned, {{"running_calls", std::to_string(running.size())}});
+    for (const auto& call : running) {
+        call->abandon();
+    }
+}
+
 void node::components::check_stop() {
     const micros since = state.time.now() - stop_began;
     callers->close_idle(stopping_idle_timeout);
@@ -231,9 +240,15 @@
     }
     const bool all_answered = since >= accept_time_after_stop && since - last_busy >= flush_time;
     const auto grace = std::chrono::duration<double, std::micro>(state.settings.stop_grace_period);
-    if (!all_answered && since < grace * usable_grace_ratio) {
+    const bool is_grace_over = since >= grace * usable_grace_ratio;
+    if (!all_answered && !is_grace_over) {
         return;
     }
+    if (!state.running_calls.empty()) {
+        state.refuses_calls = true;
+        abandon_calls();
+        return; // The next check ends the loop, once the last responses are sent.
+    }
     peers->send_heartbeat(); // Includes the counts of the last calls.
     state.log.write(node_stopped, {{"running_calls", std::to_string(state.running_calls.size())}});
     state.loop.stop();
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -8,6 +8,7 @@
 inline constexpr log_event node_stopping{7001, log_severity::info, "node_stopping"};
 inline constexpr log_event node_stopped{7002, log_severity::info, "node_stopped"};
 inline constexpr log_event node_reloaded{7003, log_severity::info, "node_reloaded"};
+inline constexpr log_event calls_abandoned{7004, log_severity::warning, "calls_abandoned"};
 inline constexpr log_event call_ended{7010, log_severity::info, "call_ended"};
 inline constexpr log_event call_failed{7011, log_severity::warning, "call_failed"};
 inline constexpr log_event call_refused{7012, log_severity::warning, "call_refused"};
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -636,7 +636,13 @@
 
 void proxied_call::abandon() {
     const auto alive = shared_from_this();
-    abort_response("node_ends");
+    if (progress_.has_begun) {
+        abort_response("node_ends");
+    } else if (call_ || progress_.may_have_run) {
+        fail(gateway_timeout, "node_ends");
+    } else {
+        refuse("node_ends", min_retry_after);
+    }
 }
 
 void proxied_call::do_caller_disconnected() {
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -41,7 +41,8 @@
     }
     /// Cancels the running attempt and fails the call, unless the answer has begun.
     void stop_before_answer();
-    /// Aborts the call because the node shuts down.
+    /// Ends the call because the node shuts down: with its final status unless the answer has
+    /// begun.
     void abandon();
 
 protected:
