--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -342,6 +342,9 @@
 }
 
 void proxied_call::read_server_limit() {
+    if (response_fields_.wrong_server) {
+        return;
+    }
     if (response_fields_.has_malformed_limit) {
         state_.log.write(server_limit_rejected, {{"server", server_.id.str()}});
         return;
--- a/tests/serving/server_limits_test.cc
+++ b/tests/serving/server_limits_test.cc
@@ -21,6 +21,7 @@
 
 std::vector<node_id> names(int count) {
     std::vector<node_id> list;
+    list.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         list.emplace_back("n" + std::to_string(i));
     }
