Release the calls of a crashed scripted server

The address sanitizer found a leak in the three tests of crashing engines: a call, its exchange and its connection held each other once the server was destroyed with the call unanswered. Only the tests' server is affected.

--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -39,7 +39,12 @@
     http1_server& server() { return *server_; }
     /// Closes the listener and all connections, as the end of the process would. Not to be called
     /// from the script.
-    void crash() { server_.reset(); }
+    void crash() {
+        server_.reset();
+        for (const auto& call : calls_) {
+            call->exchange.reset(); // Its connection holds the call.
+        }
+    }
     [[nodiscard]] bool has_crashed() const { return server_ == nullptr; }
 
 protected:
