Deliver the bytes that arrived before a write on their connection failed

A caller, or our client of backend servers, loses an answer that has arrived in full.

Cause: a write to a connection that the peer has closed fails at once, and the failure ended the connection before its received bytes were read. Class: an error on one direction of a connection discards the other. In the test a caller wrote the two pieces of its next request while its last answer was unread; the first piece drew a reset. In the product the same holds for our client when a server answers before it has read a long request and closes.

Change: a failed write stops further writes; the end is reported by the read side after the last bytes, always as a failure, since the error hides whether the peer closed in order.

The new test of the connection fails without the change (no byte delivered) and passes with it.

--- a/src/net/uv_tcp_connection.cc
+++ b/src/net/uv_tcp_connection.cc
@@ -103,8 +103,8 @@
         return;
     }
     if (count < 0) {
-        self->close_and_notify(count == UV_EOF && self->has_orderly_end() ? connection_end::closed
-                                                                          : connection_end::failed);
+        const bool is_orderly = count == UV_EOF && !self->write_failed_ && self->has_orderly_end();
+        self->close_and_notify(is_orderly ? connection_end::closed : connection_end::failed);
         return;
     }
     const auto guard = self->shared_from_this();
@@ -133,7 +133,7 @@
         return;
     }
     if (status != 0) {
-        self->close_and_notify(connection_end::failed);
+        self->end_after_failed_write();
         return;
     }
     if (self->above_high_water_ && self->do_unsent_bytes() < low_water_bytes) {
@@ -144,13 +144,21 @@
     }
 }
 
+void uv_tcp_connection::end_after_failed_write() {
+    // Bytes that the peer sent before the connection broke are still read; the end follows them.
+    write_failed_ = true;
+    if (!reading_) {
+        close_and_notify(connection_end::failed);
+    }
+}
+
 void uv_tcp_connection::do_set_events(connection_events& events) {
     events_ = &events;
     do_set_reading(true);
 }
 
 void uv_tcp_connection::do_write(std::string_view bytes) {
-    if (!open_ || closing_after_writes_ || bytes.empty()) {
+    if (!open_ || closing_after_writes_ || write_failed_ || bytes.empty()) {
         return;
     }
     if (established_ && uv_stream_get_write_queue_size(stream()) == 0) {
--- a/src/net/uv_tcp_connection.h
+++ b/src/net/uv_tcp_connection.h
@@ -36,6 +36,7 @@
     void set_socket_options();
     [[nodiscard]] bool has_orderly_end() const;
     void close_and_notify(connection_end reason);
+    void end_after_failed_write();
     void close_handle();
 
     event_loop& loop_;
@@ -48,6 +49,8 @@
     bool established_ = false;
     bool reading_ = false;
     bool closing_after_writes_ = false;
+    /// The system has rejected bytes: nothing more can be sent.
+    bool write_failed_ = false;
     /// The unsent bytes exceeded `high_water_bytes` and have not fallen below `low_water_bytes`
     /// since.
     bool above_high_water_ = false;
--- a/tests/net/tcp_connection_test.cc
+++ b/tests/net/tcp_connection_test.cc
@@ -61,6 +61,31 @@
     CHECK(*events.end == connection_end::failed);
 }
 
+TEST_CASE("bytes that arrived before a write failed are delivered before the end") {
+    event_loop loop;
+    std::atomic<bool> is_connected{false};
+    std::atomic<bool> is_closed{false};
+    blocking_peer peer([&](int socket) {
+        while (!is_connected) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        send_all(socket, "whole answer");
+        reset(socket);
+        is_closed = true;
+    });
+    recorded_connection events;
+    const auto connection = tcp_connection::connect(loop, peer.address(), events);
+    REQUIRE(run_until(loop, [&] { return events.connected; }));
+    is_connected = true;
+    while (!is_closed) { // The loop must not read the answer yet.
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    connection->write("next request");
+    REQUIRE(run_until(loop, [&] { return events.end.has_value(); }));
+    CHECK(events.data == "whole answer");
+    CHECK(*events.end == connection_end::failed);
+}
+
 TEST_CASE("a refused connection is reported after connect has returned") {
     event_loop loop;
     const endpoint refusing_address{"127.0.0.1", 1};
