Read on after a connection's last response until the caller closes

What callers saw (shown by a test, not seen on the platform): a caller that sends while its connection is being closed gets a reset and may lose a response that was sent in full.

Cause: after a response with Connection: close to a complete request the socket was closed at once, although bytes of the caller may be unread or in transit; the system answers those with a reset. Only responses to incomplete requests lingered.

Change: after the last response of a connection the sending side is ended, and input is read and discarded until the caller closes, for at most a second. tcp_connection::finish_sending ends one side. The stop of a node waits for such connections as it does for others, so a caller that doesn't close holds it for up to a second more.

--- a/include/jujubetide/net/tcp_connection.h
+++ b/include/jujubetide/net/tcp_connection.h
@@ -62,6 +62,9 @@
     void write(std::string_view bytes) { do_write(bytes); }
     /// Bytes that the system has not accepted yet.
     [[nodiscard]] std::size_t unsent_bytes() const { return do_unsent_bytes(); }
+    /// Sends the unsent bytes, then ends this side of the connection; the peer's bytes are still
+    /// received. Later writes are ignored.
+    void finish_sending() { do_finish_sending(); }
     void pause_reading() { do_set_reading(false); }
     void resume_reading() { do_set_reading(true); }
     /// Sends the unsent bytes, then closes. No further events.
@@ -74,6 +77,7 @@
     tcp_connection() = default;
     virtual void do_set_events(connection_events& events) = 0;
     virtual void do_write(std::string_view bytes) = 0;
+    virtual void do_finish_sending() = 0;
     [[nodiscard]] virtual std::size_t do_unsent_bytes() const = 0;
     virtual void do_set_reading(bool enabled) = 0;
     virtual void do_close(bool reset) = 0;
--- a/src/http1/server_connection.cc
+++ b/src/http1/server_connection.cc
@@ -7,8 +7,9 @@
 
 /// Bytes of further requests that are buffered while one is answered; reading pauses above this.
 constexpr std::size_t max_pipelined_bytes = std::size_t{64} * 1024;
-/// How long input is still read and discarded after a final response, so that closing does not
-/// reset the connection before the caller has read the response.
+/// How long input is still read and discarded after the last response, unless the caller closes
+/// first: closing on unread input would reset the connection, and the caller could lose the
+/// response.
 constexpr micros linger_time{1'000'000};
 
 constexpr int bad_request = 400;
@@ -203,10 +204,8 @@
 void server_connection::linger() {
     state_ = state::lingering;
     last_activity_ = server_.clock_.now();
+    connection_->finish_sending();
     connection_->resume_reading();
-    if (!parser_.has_begun() || parser_.state() == parse_state::complete) {
-        drop();
-    }
 }
 
 void server_connection::check_timeouts(time_point now) {
--- a/src/net/uv_tcp_connection.cc
+++ b/src/net/uv_tcp_connection.cc
@@ -158,7 +158,7 @@
 }
 
 void uv_tcp_connection::do_write(std::string_view bytes) {
-    if (!open_ || closing_after_writes_ || write_failed_ || bytes.empty()) {
+    if (!open_ || closing_after_writes_ || sending_finished_ || write_failed_ || bytes.empty()) {
         return;
     }
     if (established_ && uv_stream_get_write_queue_size(stream()) == 0) {
@@ -184,6 +184,14 @@
     above_high_water_ = above_high_water_ || do_unsent_bytes() > high_water_bytes;
 }
 
+void uv_tcp_connection::do_finish_sending() {
+    if (!open_ || !established_ || std::exchange(sending_finished_, true)) {
+        return;
+    }
+    // Fails only on a connection that has ended, which is reported by reading.
+    uv_shutdown(&shutdown_, stream(), nullptr);
+}
+
 std::size_t uv_tcp_connection::do_unsent_bytes() const {
     return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&handle_));
 }
--- a/src/net/uv_tcp_connection.h
+++ b/src/net/uv_tcp_connection.h
@@ -23,6 +23,7 @@
 protected:
     void do_set_events(connection_events& events) override;
     void do_write(std::string_view bytes) override;
+    void do_finish_sending() override;
     [[nodiscard]] std::size_t do_unsent_bytes() const override;
     void do_set_reading(bool enabled) override;
     void do_close(bool reset) override;
@@ -42,6 +43,7 @@
     event_loop& loop_;
     uv_tcp_t handle_{};
     uv_connect_t connect_{};
+    uv_shutdown_t shutdown_{};
     connection_events* events_ = nullptr;
     /// Keeps the object alive while the loop uses the handle.
     std::shared_ptr<uv_tcp_connection> self_;
@@ -49,6 +51,7 @@
     bool established_ = false;
     bool reading_ = false;
     bool closing_after_writes_ = false;
+    bool sending_finished_ = false;
     /// The system has rejected bytes: nothing more can be sent.
     bool write_failed_ = false;
     /// The unsent bytes exceeded `high_water_bytes` and have not fallen below `low_water_bytes`
--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -117,6 +117,26 @@
     ::close(socket);
 }
 
+TEST_CASE("a caller that still sends while its connection is closed can read its last response") {
+    server_fixture fixture(echo);
+    fixture.server.server().begin_closing();
+    const int socket = connect_to(fixture.server.address());
+    send_all(socket, "GET /last HTTP/1.1\r\n\r\n");
+    REQUIRE(run_until(fixture.loop, [&] { return fixture.server.calls().size() == 1; }));
+    const std::string late_bytes = "GET /late HTTP/1.1\r\n";
+    for (int i = 0; i < 5; ++i) {
+        run_for(fixture.loop, millis{10});
+        CHECK(::send(socket, late_bytes.data(), late_bytes.size(), MSG_NOSIGNAL) ==
+              static_cast<ssize_t>(late_bytes.size()));
+    }
+    CHECK(read_until(socket, "/last ").find("Connection: close") != std::string::npos);
+    char byte = 0;
+    CHECK(::recv(socket, &byte, 1, 0) <= 0);
+    CHECK(fixture.server.calls().size() == 1);
+    ::close(socket);
+    CHECK(run_until(fixture.loop, [&] { return fixture.server.server().connections() == 0; }));
+}
+
 TEST_CASE("a closing server tells callers to close and closes idle connections") {
     server_fixture fixture(echo);
     const int idle = connect_to(fixture.server.address());
