Answer the request that follows a response begun before the stop

What callers saw (shown by a test): the connection closes without an answer to a request that the caller sends right after the end of a stream that had begun before SIGTERM.

The idle close of a stop had the same gap for a request that has arrived but is not read.

Evidence: "a request that follows a stream's end during the stop is answered" fails without the change (1 answer of 2), as does the added check of the refusal in "a request long after the stop signal..." (0 of 1); both pass with it.

--- a/include/jujubetide/net/tcp_connection.h
+++ b/include/jujubetide/net/tcp_connection.h
@@ -65,6 +65,8 @@
     /// Sends the unsent bytes, then ends this side of the connection; the peer's bytes are still
     /// received. Later writes are ignored.
     void finish_sending() { do_finish_sending(); }
+    /// Whether bytes of the peer have arrived that were not reported yet.
+    [[nodiscard]] bool has_unread_bytes() const { return do_has_unread_bytes(); }
     void pause_reading() { do_set_reading(false); }
     void resume_reading() { do_set_reading(true); }
     /// Sends the unsent bytes, then closes. No further events.
@@ -79,6 +81,7 @@
     virtual void do_write(std::string_view bytes) = 0;
     virtual void do_finish_sending() = 0;
     [[nodiscard]] virtual std::size_t do_unsent_bytes() const = 0;
+    [[nodiscard]] virtual bool do_has_unread_bytes() const = 0;
     virtual void do_set_reading(bool enabled) = 0;
     virtual void do_close(bool reset) = 0;
     [[nodiscard]] virtual bool do_is_open() const = 0;
--- a/src/http1/server_connection.cc
+++ b/src/http1/server_connection.cc
@@ -158,8 +158,7 @@
         connection_->write(last_chunk);
     }
     exchange_.reset();
-    // A response that began before the server began to close did not tell the caller to close.
-    if (!keep_alive_ || server_.closing_) {
+    if (!keep_alive_) {
         linger();
         return;
     }
@@ -235,7 +234,8 @@
 }
 
 void server_connection::close_if_idle(time_point now, micros idle_time) {
-    if (state_ == state::reading && !parser_.has_begun() && now - last_activity_ >= idle_time) {
+    if (state_ == state::reading && !parser_.has_begun() && now - last_activity_ >= idle_time &&
+        !connection_->has_unread_bytes()) {
         drop();
     }
 }
--- a/src/net/uv_tcp_connection.cc
+++ b/src/net/uv_tcp_connection.cc
@@ -115,10 +115,20 @@
 
 bool uv_tcp_connection::has_orderly_end() const {
     // libuv reports the end of the stream even if a reset came right after the last bytes.
+    return peek_byte() == 0;
+}
+
+bool uv_tcp_connection::do_has_unread_bytes() const {
+    return open_ && peek_byte() > 0;
+}
+
+ssize_t uv_tcp_connection::peek_byte() const {
     uv_os_fd_t fd = -1;
     char byte = 0;
-    return uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_), &fd) == 0 &&
-           recv(fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_), &fd) != 0) {
+        return -1;
+    }
+    return recv(fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
 }
 
 void uv_tcp_connection::on_written(uv_write_t* request, int status) {
--- a/src/net/uv_tcp_connection.h
+++ b/src/net/uv_tcp_connection.h
@@ -25,6 +25,7 @@
     void do_write(std::string_view bytes) override;
     void do_finish_sending() override;
     [[nodiscard]] std::size_t do_unsent_bytes() const override;
+    [[nodiscard]] bool do_has_unread_bytes() const override;
     void do_set_reading(bool enabled) override;
     void do_close(bool reset) override;
     [[nodiscard]] bool do_is_open() const override { return open_; }
@@ -36,6 +37,8 @@
     [[nodiscard]] uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&handle_); }
     void set_socket_options();
     [[nodiscard]] bool has_orderly_end() const;
+    /// Result of `recv` for the next byte, which stays unread.
+    [[nodiscard]] ssize_t peek_byte() const;
     void close_and_notify(connection_end reason);
     void end_after_failed_write();
     void close_handle();
--- a/tests/node/node_stop_test.cc
+++ b/tests/node/node_stop_test.cc
@@ -123,10 +123,31 @@
     run_to_the_end(fixture);
     CHECK(caller.answers("200") == 1);
     CHECK(caller.received.find("0\r\n\r\n") != std::string::npos); // The stream's end.
+    CHECK(caller.answers("503") == 1);
     CHECK(server.calls().size() == 1);
     CHECK(caller.is_closed);
 }
 
+TEST_CASE("a request that follows a stream's end during the stop is answered") {
+    node_fixture fixture;
+    fixture.start({{"stream", {{"timeoutMs", 20'000}}}});
+    scripted_server& server = fixture.add_server("i-1", "model", [](scripted_call& call) {
+        begin_events(call);
+        call.exchange->write(event_text(1));
+    });
+    fixture.add_server("i-2", "plain", [](scripted_call& call) { answer(call, 200, "ok"); });
+    kept_connection caller(fixture.loop, fixture.tested->caller_endpoint());
+    caller.send(request_of_test("/stream/", {}));
+    REQUIRE(run_until(fixture.loop, [&] { return server.calls().size() == 1; }));
+    fixture.tested->begin_stop();
+    const auto end_of_stream = fixture.loop.once(millis{1'000}, [&] {
+        server.calls()[0]->exchange->finish();
+        caller.send(request_of_test("/often/", {}));
+    });
+    run_to_the_end(fixture);
+    CHECK(caller.answers("200") == 2);
+}
+
 TEST_CASE("every request that reaches a server during a stop is answered") {
     node_fixture fixture;
     fixture.start();
