Fail a response that consists mostly of chunk framing early

Cause: a call's limit of 16 MiB counts the body's bytes only. Chunks of one byte carry five bytes of framing each, so 96 MiB are received and parsed, a callback per byte, before the limit is reached. Class: a limit on decoded bytes doesn't bound the work of decoding. The bound on bytes before a call's own response counts raw bytes.

Change: a response fails once its framing exceeds the size of its body by 4 MiB. Chunks of six bytes or more never reach that, nor does any body below 1 MiB.

Looked at elsewhere: request bodies in chunks of one byte have the same ratio, within maxBodyBytes of the caller; buffered calls (store, cloud, reports) drop what exceeds 16 MiB but read on until their timeout: not changed.

--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t max_idle_per_server = 32;
 /// Bytes that a call accepts before its own response: interim and late responses.
 constexpr std::size_t max_bytes_before_response = std::size_t{1} << 20U;
+/// Bytes of head and chunk framing that a response may have beyond the size of its body.
+constexpr std::size_t max_extra_framing_bytes = std::size_t{4} << 20U;
 
 /// The idle time in `Keep-Alive: timeout=SECONDS`, if present.
 std::optional<micros> keep_alive_timeout(const header_list& headers) {
@@ -66,6 +68,7 @@
 private:
     enum class state { connecting, active, idle, closed };
 
+    [[nodiscard]] bool exceeds_limits() const;
     void complete();
     void fail(call_failure failure);
     void close(bool reset);
@@ -84,6 +87,9 @@
     bool informational_response_ = false;
     /// Bytes of the current call that were not part of its own response.
     std::size_t bytes_before_response_ = 0;
+    /// Bytes of the current call's own response, and those of them that belong to its body.
+    std::size_t response_bytes_ = 0;
+    std::size_t body_bytes_ = 0;
     time_point idle_since_{};
     micros max_idle_ = micros::max();
 };
@@ -161,6 +167,8 @@
     keep_alive_ = false;
     skipping_response_ = false;
     bytes_before_response_ = 0;
+    response_bytes_ = 0;
+    body_bytes_ = 0;
     parser_.restart();
     const std::weak_ptr<pooled_connection> weak_self = weak_from_this();
     if (options.timeout > micros{0}) {
@@ -207,9 +215,10 @@
         bytes.remove_prefix(consumed);
         if (skipping_response_ || informational_response_ || !parser_.is_head_complete()) {
             bytes_before_response_ += consumed;
+        } else {
+            response_bytes_ += consumed;
         }
-        if (parser_.state() == parse_state::malformed ||
-            bytes_before_response_ > max_bytes_before_response) {
+        if (parser_.state() == parse_state::malformed || exceeds_limits()) {
             fail(call_failure::response_failed);
             return;
         }
@@ -230,6 +239,11 @@
     }
 }
 
+bool pooled_connection::exceeds_limits() const {
+    return bytes_before_response_ > max_bytes_before_response ||
+           response_bytes_ > 2 * body_bytes_ + max_extra_framing_bytes;
+}
+
 void pooled_connection::do_response_head(response_head head) {
     constexpr int first_final_status = 200;
     informational_response_ = head.status < first_final_status;
@@ -247,6 +261,7 @@
 
 void pooled_connection::do_body(std::string_view bytes) {
     if (!skipping_response_ && events_ != nullptr) {
+        body_bytes_ += bytes.size();
         events_->on_body(bytes);
     }
 }
--- a/tests/http1/http1_client_test.cc
+++ b/tests/http1/http1_client_test.cc
@@ -8,7 +8,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
+#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -123,6 +125,31 @@
     may_close = true;
 }
 
+TEST_CASE("a response that consists mostly of chunk framing fails early") {
+    constexpr std::size_t max_sent_bytes = std::size_t{32} << 20U;
+    std::string chunks;
+    while (chunks.size() < 32'768) {
+        chunks += "1\r\na\r\n";
+    }
+    std::size_t sent_bytes = 0;
+    {
+        client_fixture fixture;
+        recorded_call events;
+        fixture.call_raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", events,
+                         [&](int socket) {
+                             ssize_t sent = 1;
+                             while (sent > 0 && sent_bytes < max_sent_bytes) {
+                                 sent = ::send(socket, chunks.data(), chunks.size(), MSG_NOSIGNAL);
+                                 sent_bytes += static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
+                             }
+                             ::close(socket);
+                         });
+        CHECK(events.failure == call_failure::response_failed);
+        CHECK(events.body.size() < max_sent_bytes / 12);
+    }
+    CHECK(sent_bytes < max_sent_bytes);
+}
+
 TEST_CASE("a call that cannot connect fails as not connected") {
     client_fixture fixture;
     recorded_call events;
