--- /dev/null
+++ b/tests/node/node_process.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "jujubetide/base/endpoint.h"
+
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <sys/types.h>
+
+namespace jujubetide {
+
+/// The node program as a process of its own, on a loopback address of its own. Killed with the
+/// object.
+class node_process {
+public:
+    /// `index` is from 1 to 250. Settings and log are written to `folder`.
+    node_process(std::filesystem::path folder, int index, const endpoint& store);
+    ~node_process();
+    node_process(const node_process&) = delete;
+    node_process& operator=(const node_process&) = delete;
+
+    void start();
+    void signal(int number) const;
+    /// The exit code once the process has ended, negative when a signal ended it. Returned once.
+    std::optional<int> take_exit_code();
+    [[nodiscard]] endpoint caller_endpoint() const;
+    [[nodiscard]] endpoint readiness_endpoint() const;
+
+private:
+    void write_settings(const endpoint& store) const;
+    [[nodiscard]] std::filesystem::path file(const std::string& suffix) const;
+
+    std::filesystem::path folder_;
+    std::string name_;
+    std::string address_;
+    pid_t pid_ = -1;
+};
+
+} // namespace jujubetide
