--- a/tests/support/loop_runner.h
+++ b/tests/support/loop_runner.h
@@ -7,13 +7,14 @@
 
 namespace jujubetide {
 
-/// Runs the loop until `condition()` holds; false when it does not within a limit that only a hang
-/// reaches.
+/// Runs the loop until `condition()` has held; false when it does not within a limit that only a
+/// hang reaches.
 inline bool run_until(event_loop& loop, const std::function<bool()>& condition,
                       micros limit = std::chrono::seconds(30)) {
     bool holds = condition();
     const auto looking = loop.every(millis{1}, millis{0}, [&] {
-        holds = condition();
+        // The loop may call this again before it stops.
+        holds = holds || condition();
         if (holds) {
             loop.stop();
         }
