Read a request that waits in the socket before its connection is closed as idle

What callers saw (shown by a test): after the process was suspended for longer than idleTimeoutMs, a request that had come meanwhile is dropped with its connection, and one whose head was half read gets 408.

Cause: the loop runs its timers before it reads its sockets, so the first check after the pause judges connections by activity that it has not looked at.

Looked at as well: the limit of connections closes before anything is read; a reload closes none; errors of the parser are answered and linger; a caller's half-close counts as leaving, since a full close looks the same (unchanged).

Change: a connection with unread bytes is neither closed as idle nor refused as late; the next check decides.

Evidence: the new test fails without the change (both requests) and passes with it.

--- a/src/http1/server_connection.cc
+++ b/src/http1/server_connection.cc
@@ -208,24 +208,14 @@
 }
 
 void server_connection::check_timeouts(time_point now) {
-    const micros idle = now - last_activity_;
     switch (state_) {
     case state::lingering:
-        if (idle >= linger_time) {
+        if (now - last_activity_ >= linger_time) {
             drop();
         }
         return;
     case state::reading:
-        if (parser_.has_begun() && !parser_.is_head_complete() &&
-            now - request_started_ >= server_.limits_.head_timeout) {
-            reject(request_timeout);
-        } else if (idle >= server_.limits_.idle_timeout) {
-            if (parser_.has_begun()) {
-                reject(request_timeout);
-            } else {
-                drop();
-            }
-        }
+        check_reading_timeouts(now);
         return;
     case state::responding:
     case state::closed:
@@ -233,6 +223,21 @@
     }
 }
 
+void server_connection::check_reading_timeouts(time_point now) {
+    const bool is_idle = now - last_activity_ >= server_.limits_.idle_timeout;
+    const bool is_head_late = parser_.has_begun() && !parser_.is_head_complete() &&
+                              now - request_started_ >= server_.limits_.head_timeout;
+    // After the process was suspended, its timers run before its sockets are read.
+    if ((!is_idle && !is_head_late) || connection_->has_unread_bytes()) {
+        return;
+    }
+    if (parser_.has_begun()) {
+        reject(request_timeout);
+    } else {
+        drop();
+    }
+}
+
 void server_connection::close_if_idle(time_point now, micros idle_time) {
     if (state_ == state::reading && !parser_.has_begun() && now - last_activity_ >= idle_time &&
         !connection_->has_unread_bytes()) {
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -44,6 +44,7 @@
     void dispatch();
     void reject(int status);
     void linger();
+    void check_reading_timeouts(time_point now);
     void remove_from_server();
 
     http1_server& server_;
--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace jujubetide;
@@ -137,6 +138,24 @@
     CHECK(run_until(fixture.loop, [&] { return fixture.server.server().connections() == 0; }));
 }
 
+TEST_CASE("a request that arrived while the process was suspended is answered") {
+    server_fixture fixture(echo);
+    http1_limits limits;
+    limits.idle_timeout = millis{300};
+    fixture.server.server().set_limits(limits);
+    const int socket = connect_to(fixture.server.address());
+    REQUIRE(run_until(fixture.loop, [&] { return fixture.server.server().connections() == 1; }));
+    const std::string request = "GET /waiting HTTP/1.1\r\n\r\n";
+    send_all(socket, request.substr(0, request.size() / 2));
+    run_for(fixture.loop, millis{20});
+    send_all(socket, request.substr(request.size() / 2));
+    std::this_thread::sleep_for(limits.idle_timeout * 2); // The loop doesn't run.
+    CHECK(fixture.send_and_read(socket, request, "/waiting ").find("200 OK") != std::string::npos);
+    std::this_thread::sleep_for(limits.idle_timeout * 2);
+    CHECK(fixture.send_and_read(socket, request, "/waiting ").find("200 OK") != std::string::npos);
+    ::close(socket);
+}
+
 TEST_CASE("a closing server tells callers to close and closes idle connections") {
     server_fixture fixture(echo);
     const int idle = connect_to(fixture.server.address());
