--- a/tests/node/node_process_stop_test.cc
+++ b/tests/node/node_process_stop_test.cc
@@ -1,5 +1,5 @@
 // The node program under load, stopped again and again while callers keep their connections open.
-// JUJUBETIDE_SOAK_SEED and JUJUBETIDE_SOAK_SECONDS choose another run.
+// JUJUBETIDE_SOAK_SEED, JUJUBETIDE_SOAK_SECONDS and JUJUBETIDE_SOAK_CALLERS choose another run.
 #include "node_fixture.h"
 #include "node_process.h"
 #include "support/row_store_server.h"
@@ -22,7 +22,7 @@
 namespace {
 
 constexpr int node_count = 8;
-constexpr int caller_count = 24;
+constexpr int default_caller_count = 24;
 constexpr std::size_t min_ready_nodes = 3;
 /// `gracePeriodS` of the settings of `node_process`.
 constexpr micros grace_period{8'000'000};
@@ -293,7 +293,7 @@
 /// The store, the backend servers, the nodes and the callers of one run.
 class soak_run {
 public:
-    explicit soak_run(std::uint64_t seed)
+    soak_run(std::uint64_t seed, int caller_count)
         : state(seed), folder_(std::filesystem::temp_directory_path() /
                                ("jujubetide-soak-" + std::to_string(::getpid()))),
           store_(state.loop), store_server_(state.loop, state.time, store_),
@@ -439,7 +439,9 @@
 TEST_CASE("the node program stopped under load loses and doubles no request") {
     const std::uint64_t seed = number_from_environment("JUJUBETIDE_SOAK_SEED", 1);
     const std::uint64_t seconds = number_from_environment("JUJUBETIDE_SOAK_SECONDS", 30);
-    soak_run soak(seed);
+    const std::uint64_t callers =
+        number_from_environment("JUJUBETIDE_SOAK_CALLERS", default_caller_count);
+    soak_run soak(seed, static_cast<int>(callers));
     soak.run(std::chrono::seconds(seconds));
     const std::vector<micros> times = soak.stop_times();
     REQUIRE_FALSE(times.empty());
@@ -452,8 +454,9 @@
         std::cout << "; " << status << ": " << count;
     }
     std::cout << "\n";
-    CHECK(joined(soak.state.lost) == "");
-    CHECK(joined(soak.state.doubled) == "");
+    INFO("lost: " << joined(soak.state.lost) << "doubled: " << joined(soak.state.doubled));
+    CHECK(soak.state.lost.empty());
+    CHECK(soak.state.doubled.empty());
     CHECK(soak.all_exited_in_order());
     CHECK(times.back() < grace_period);
     CHECK(times.size() >= seconds / 2);
