--- a/tests/node/node_process_stop_test.cc
+++ b/tests/node/node_process_stop_test.cc
@@ -240,16 +240,16 @@
         if (const std::optional<int> code = process_.take_exit_code()) {
             exit_codes_.push_back(*code);
             stop_times_.push_back(state_.time.now() - stop_began_);
-            is_stopping_over_ = true;
+            has_exited_ = true;
             state_.after(state_.random_delay(400), [this] {
                 state_.stops_began.erase(address_.str());
                 process_.start();
-                is_stopping_over_ = false;
+                has_exited_ = false;
                 stop_began_ = {};
             });
             return;
         }
-        if (!is_ready_ && !is_stopping_over_ && stop_began_ == time_point{} && !readiness_call_) {
+        if (!is_ready_ && !has_exited_ && stop_began_ == time_point{} && !readiness_call_) {
             ask_readiness();
         }
     }
@@ -276,7 +276,7 @@
     http1_client client_;
     std::unique_ptr<buffered_call> readiness_call_;
     bool is_ready_ = false;
-    bool is_stopping_over_ = false;
+    bool has_exited_ = false;
     time_point stop_began_{};
     std::vector<micros> stop_times_;
     std::vector<int> exit_codes_;
@@ -320,13 +320,14 @@
     soak_run(const soak_run&) = delete;
     soak_run& operator=(const soak_run&) = delete;
 
-    void run(micros duration) {
+    /// Returns whether every request has ended.
+    bool run(micros duration) {
         const auto checking = state.loop.every(millis{10}, millis{10}, [this] { check_nodes(); });
         const auto stopping =
             state.loop.every(millis{250}, millis{250}, [this] { disturb_random_node(); });
         run_for(state.loop, duration);
         state.has_callers = false;
-        run_until(state.loop, [this] {
+        return run_until(state.loop, [this] {
             return std::none_of(callers_.begin(), callers_.end(),
                                 [](const auto& one) { return one->is_waiting(); });
         });
@@ -442,7 +443,7 @@
     const std::uint64_t callers =
         number_from_environment("JUJUBETIDE_SOAK_CALLERS", default_caller_count);
     soak_run soak(seed, static_cast<int>(callers));
-    soak.run(std::chrono::seconds(seconds));
+    CHECK(soak.run(std::chrono::seconds(seconds)));
     const std::vector<micros> times = soak.stop_times();
     REQUIRE_FALSE(times.empty());
     std::cout << "stop soak: seed " << seed << ", " << times.size() << " stops, "
