--- a/tests/node/shared_tables_test.cc
+++ b/tests/node/shared_tables_test.cc
@@ -13,12 +13,8 @@
         for (int i = 0; i < count; ++i) {
             members.push_back(std::make_unique<cluster_member>(loop, time, store, i));
         }
-        REQUIRE(run_until(loop, [this, settled_at = time.now()]() mutable {
-            if (reader_count() != 3) {
-                settled_at = time.now();
-            }
-            return time.now() - settled_at >= settling_time;
-        }));
+        REQUIRE(run_until(loop, [this] { return reader_count() == 3; }));
+        run_for(loop, millis{600});
         REQUIRE(reader_count() == 3);
     }
     [[nodiscard]] int reader_count() const {
@@ -44,9 +40,6 @@
         return sum;
     }
 
-    /// How long the number of readers must stay the same before a test begins.
-    static constexpr millis settling_time{600};
-
     event_loop loop;
     boot_clock time;
     fake_row_store store{loop};
