Reproduce truncated answers at every position of their end

Callers on the users' record got a stream as complete although its engine had crashed amid it (ORDER). The new cases end the connection after every byte of an answer, in order and with a reset, for each kind of call and each framing.

Measured on this code: the cases of both kinds of stream pass; those of plain calls fail at one position: an answer with neither length nor chunks that is closed before its first byte becomes an empty 200.

--- /dev/null
+++ b/tests/node/broken_answers_test.cc
@@ -0,0 +1,173 @@
+// Servers whose connection ends at every position of their answer, in order or with a reset.
+#include "node_fixture.h"
+
+#include "jujubetide/net/tcp_acceptor.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+using namespace jujubetide;
+
+namespace {
+
+enum class ending { closed, reset };
+
+/// Answers each connection's first bytes as `answer_with` says, and then ends the connection.
+class ending_server {
+public:
+    explicit ending_server(event_loop& loop) : loop_(loop) {
+        acceptor_ = *tcp_acceptor::make(
+            loop, {"127.0.0.1", 0}, [this](std::shared_ptr<tcp_connection> connection) {
+                sessions_.push_back(std::make_unique<session>(*this, std::move(connection)));
+            });
+    }
+    void answer_with(std::string bytes, ending end) {
+        sessions_.clear();
+        bytes_ = std::move(bytes);
+        end_ = end;
+    }
+    [[nodiscard]] const endpoint& address() const { return acceptor_->address(); }
+    /// Connections since the last `answer_with`.
+    [[nodiscard]] std::size_t connections() const { return sessions_.size(); }
+
+private:
+    struct session final : connection_events {
+        session(ending_server& server, std::shared_ptr<tcp_connection> accepted)
+            : owner(server), connection(std::move(accepted)) {
+            connection->set_events(*this);
+        }
+        ~session() override { connection->close(); }
+        session(const session&) = delete;
+        session& operator=(const session&) = delete;
+
+        void do_data(std::string_view) override {
+            if (!timer) {
+                connection->write(owner.bytes_);
+                // The bytes arrive before a reset, which would otherwise discard them.
+                timer = owner.loop_.once(millis{2}, [this] { end(); });
+            }
+        }
+        void do_end(connection_end) override {}
+        void end() const {
+            if (owner.end_ == ending::reset) {
+                connection->reset();
+            } else {
+                connection->close();
+            }
+        }
+
+        ending_server& owner;
+        std::shared_ptr<tcp_connection> connection;
+        std::unique_ptr<timer_subscription> timer;
+    };
+
+    event_loop& loop_;
+    std::string bytes_;
+    ending end_ = ending::closed;
+    std::vector<std::unique_ptr<session>> sessions_;
+    std::unique_ptr<tcp_acceptor> acceptor_;
+};
+
+struct answer_shape {
+    std::string name;
+    std::string head;
+    std::string body;
+    /// Whether only the end of the connection ends the answer.
+    bool ends_with_connection = false;
+    /// The lengths of the body's beginnings that are complete answers.
+    std::vector<std::size_t> complete_lengths;
+};
+
+const std::string own_head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Upstream-Signature: s\r\n";
+
+std::string as_chunk(const std::string& bytes) {
+    return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
+}
+
+std::vector<answer_shape> shapes_of(const std::vector<std::string>& pieces) {
+    std::string whole;
+    std::string chunks;
+    std::vector<std::size_t> ends;
+    for (const std::string& piece : pieces) {
+        whole += piece;
+        chunks += as_chunk(piece);
+        ends.push_back(whole.size());
+    }
+    const std::string length = absl::StrCat(own_head, "Content-Length: ", whole.size(), "\r\n\r\n");
+    return {{"neither length nor chunks", own_head + "\r\n", whole, true, ends},
+            {"length", length, whole, false, {whole.size()}},
+            {"chunks",
+             own_head + "Transfer-Encoding: chunked\r\n\r\n",
+             chunks + "0\r\n\r\n",
+             false,
+             {chunks.size() + 5}}};
+}
+
+/// A body without events may end anywhere but before its first byte.
+std::vector<answer_shape> plain_shapes() {
+    std::vector<answer_shape> shapes = shapes_of({"answer"});
+    for (std::size_t length = 1; length < shapes[0].body.size(); ++length) {
+        shapes[0].complete_lengths.push_back(length);
+    }
+    return shapes;
+}
+
+/// A node with one server of each service whose answers end as the test says.
+struct ending_fixture : node_fixture {
+    explicit ending_fixture(const std::string& service) : server(loop) {
+        // One attempt a call, so that each answer decides what its caller gets.
+        start({{"often", {{"maxAttempts", 1}}}, {"resumed", {{"maxAttempts", 1}}}});
+        store.put("servers", "i-1", registration_of_test(service, server.address()));
+        REQUIRE(run_until(loop, [&] { return log.count("server_seen") == 1; }));
+    }
+    ending_server server;
+};
+
+void check_ending(ending_fixture& fixture, const std::string& path, const answer_shape& shape,
+                  std::size_t length, ending end, bool is_complete) {
+    INFO(path << ", " << shape.name << ", " << length << " bytes, "
+              << (end == ending::reset ? "reset" : "closed"));
+    fixture.server.answer_with((shape.head + shape.body).substr(0, length), end);
+    const recorded_call got = fixture.call(path);
+    CHECK((got.whole && got.head.status == 200) == is_complete);
+    CHECK(fixture.server.connections() == 1);
+}
+
+/// Checks the answers that end after each position of the body, and after some of the head.
+void check_all_endings(const std::vector<answer_shape>& shapes, const std::string& path,
+                       const std::string& service) {
+    ending_fixture fixture(service);
+    constexpr std::size_t head_step = 16;
+    for (const answer_shape& shape : shapes) {
+        const std::size_t head = shape.head.size();
+        for (std::size_t length = 0; length < head; length += head_step) {
+            check_ending(fixture, path, shape, length, ending::closed, false);
+            check_ending(fixture, path, shape, length, ending::reset, false);
+        }
+        const auto& ends = shape.complete_lengths;
+        for (std::size_t length = 0; length <= shape.body.size(); ++length) {
+            const bool is_complete = std::find(ends.begin(), ends.end(), length) != ends.end();
+            check_ending(fixture, path, shape, head + length, ending::closed, is_complete);
+            check_ending(fixture, path, shape, head + length, ending::reset,
+                         is_complete && !shape.ends_with_connection);
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("a truncated stream is never framed as complete") {
+    check_all_endings(shapes_of({event_text(1), event_text(2)}), "/stream/", "model");
+}
+
+TEST_CASE("a truncated stream that may be resumed is never framed as complete") {
+    check_all_endings(shapes_of({event_text(1), event_text(2)}), "/resumed/", "model");
+}
+
+TEST_CASE("a truncated answer to a call that may run twice is never framed as complete") {
+    check_all_endings(plain_shapes(), "/often/", "plain");
+}
+
+TEST_CASE("a truncated answer to a call that may run once is never framed as complete") {
+    check_all_endings(plain_shapes(), "/once/", "plain");
+}
