Treat an answer that ends before its body's first byte as broken off

Callers of plain services got an empty 200 when an answer with neither a length nor chunks was closed right after its head.

Cause: the end of the connection was taken for the end of any body of that framing; only streams were checked for a position at which it cannot be complete. A server that crashes after its head looks like this.

Change: the check covers all successful answers. A body of that framing that has at least one byte and is closed in order stays complete: nothing on the wire tells otherwise.

--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -435,7 +435,7 @@
         return;
     }
     count_usage_once();
-    if (is_cut_stream()) {
+    if (is_truncated()) {
         on_connection_broken();
         return;
     }
@@ -466,14 +466,14 @@
     forward_response();
 }
 
-bool proxied_call::is_cut_stream() const {
-    if (!is_stream() || !is_success(response_head_.status)) {
+bool proxied_call::is_truncated() const {
+    if (!is_success(response_head_.status)) {
         return false;
     }
-    // The end of a connection shows only by its position whether the stream was complete.
-    const bool ended_before_events =
-        !attempt_has_events_ && response_head_.framing == body_framing::until_close;
-    return ended_before_events || !event_splitter_.incomplete().empty();
+    // The end of a connection shows only by its position whether the body was complete.
+    const bool has_body = is_stream() ? attempt_has_events_ : !response_body_.empty();
+    const bool ended_before_body = !has_body && response_head_.framing == body_framing::until_close;
+    return ended_before_body || (is_stream() && !event_splitter_.incomplete().empty());
 }
 
 void proxied_call::forward_response() {
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -68,8 +68,8 @@
     void send(const placement_choice& choice);
     void forward_events(std::string_view bytes);
     void begin_stream_response();
-    /// Whether the response that has just ended is a stream that lacks its end.
-    [[nodiscard]] bool is_cut_stream() const;
+    /// Whether the successful response that has just ended lacks a part of its body.
+    [[nodiscard]] bool is_truncated() const;
     void forward_response();
     void on_attempt_failed(attempt_outcome outcome);
     /// The connection broke after the request was sent.
