--- a/tests/node/cluster_member.h
+++ b/tests/node/cluster_member.h
@@ -14,13 +14,18 @@
     explicit rejecting_row_store(fake_row_store& store, event_loop& loop)
         : store_(store), loop_(loop) {}
     void set_open(bool open) { open_ = open; }
+    /// From now on, the rows of `table` are read with `rewrite` applied to their values.
+    void rewrite_rows(std::string table, std::function<std::string(const std::string&)> rewrite) {
+        rewritten_table_ = std::move(table);
+        rewrite_ = std::move(rewrite);
+    }
     [[nodiscard]] int change_calls() const { return change_calls_; }
 
 protected:
     void do_read(const std::string& table, const std::string& from,
                  batch_handler handler) override {
         if (open_) {
-            store_.read(table, from, while_alive(std::move(handler)));
+            store_.read(table, from, while_alive(rewriting(table, std::move(handler))));
         } else {
             reject([handler] { handler(absl::UnavailableError("rejected by the test")); });
         }
@@ -29,7 +34,7 @@
                     batch_handler handler) override {
         ++change_calls_;
         if (open_) {
-            store_.changes(table, after, wait, while_alive(std::move(handler)));
+            store_.changes(table, after, wait, while_alive(rewriting(table, std::move(handler))));
         } else {
             reject([handler] { handler(absl::UnavailableError("rejected by the test")); });
         }
@@ -51,6 +56,19 @@
             }
         };
     }
+    batch_handler rewriting(const std::string& table, batch_handler handler) const {
+        if (table != rewritten_table_) {
+            return handler;
+        }
+        return [handler = std::move(handler), rewrite = rewrite_](absl::StatusOr<row_batch> batch) {
+            if (batch.ok()) {
+                for (stored_row& row : batch->rows) {
+                    row.value = rewrite(row.value);
+                }
+            }
+            handler(std::move(batch));
+        };
+    }
     void reject(std::function<void()> answer) {
         answers_.push_back(loop_.once(millis{1}, std::move(answer)));
     }
@@ -59,13 +77,20 @@
     event_loop& loop_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     bool open_ = true;
+    std::string rewritten_table_;
+    std::function<std::string(const std::string&)> rewrite_;
     int change_calls_ = 0;
     std::vector<std::unique_ptr<timer_subscription>> answers_;
 };
 
 struct cluster_member {
-    cluster_member(event_loop& loop, const boot_clock& time, fake_row_store& common, int number)
+    /// `rewrite_registration`, if any, changes the rows of backend servers that this node reads.
+    cluster_member(event_loop& loop, const boot_clock& time, fake_row_store& common, int number,
+                   std::function<std::string(const std::string&)> rewrite_registration = nullptr)
         : store(common, loop) {
+        if (rewrite_registration) {
+            store.rewrite_rows("servers", std::move(rewrite_registration));
+        }
         node_settings settings;
         settings.node = node_id("n" + std::to_string(number));
         settings.caller_endpoint = {"127.0.0.1", 0};
