Send calls through a peer while a host does not reach the backend servers

Cause: a host had only its own connections. Each call tried up to five servers, 400 ms each, and the directory went on naming the host.

Change: server_links probes servers when connections fail or answers stall, and tells that the links are lost. Attempts then go through a peer that reaches the servers, which sends the bytes once and says whether nothing was sent, the call may have run, or the response is the server's. The heartbeat tells peers, and the directory names hosts that reach the servers. Without such a peer, calls are refused at once.

The test of heartbeats of earlier releases covers the new last field.

--- a/include/jujubetide/serving/server_health.h
+++ b/include/jujubetide/serving/server_health.h
@@ -21,6 +21,8 @@
     /// No connection could be established, or the server stopped responding.
     void on_unreachable(const backend_server_id& id, time_point now);
     void forget(const backend_server_id& id) { states_.erase(id); }
+    /// Ends all pauses: the servers were not the reason why they could not be reached.
+    void forget_unreachable();
 
     [[nodiscard]] bool is_paused(const backend_server_id& id, time_point now) const;
     /// Fraction of the recent answers that failed, between 0 and 1; decays over time.
--- /dev/null
+++ b/src/node/call_forwarder.cc
@@ -0,0 +1,146 @@
+#include "node/call_forwarder.h"
+
+#include "node/node_events.h"
+
+#include <utility>
+
+namespace jujubetide {
+namespace {
+
+/// Timeout for connecting to a server; shorter than the peer's own for the whole way.
+constexpr micros connect_timeout{300'000};
+constexpr int bad_gateway = 502;
+
+void respond_without_answer(http1_exchange& exchange, forward_result result) {
+    header_list headers;
+    add_result(headers, result);
+    exchange.respond(bad_gateway, headers, "");
+}
+
+} // namespace
+
+class call_forwarder::forwarded_call final : public exchange_events,
+                                             public call_events,
+                                             public std::enable_shared_from_this<forwarded_call> {
+public:
+    forwarded_call(serving_state& state, forward_order order,
+                   std::shared_ptr<http1_exchange> exchange, std::shared_ptr<std::size_t> running)
+        : state_(state), order_(std::move(order)), exchange_(std::move(exchange)),
+          running_(std::move(running)) {
+        ++*running_;
+        state_.links.on_attempt_begun();
+    }
+    ~forwarded_call() override { end(); }
+    forwarded_call(const forwarded_call&) = delete;
+    forwarded_call& operator=(const forwarded_call&) = delete;
+
+    void begin(const endpoint& server, std::string request) {
+        call_options options;
+        options.connect_timeout = connect_timeout;
+        options.max_idle = order_.max_idle;
+        call_ = state_.client.call(server, std::move(request), options, *this);
+    }
+
+protected:
+    void do_caller_disconnected() override { end(); }
+    void do_drained() override {
+        if (call_) {
+            call_->resume();
+        }
+    }
+    [[nodiscard]] bool do_head(const response_head& head) override {
+        state_.links.on_bytes();
+        const std::string attempt = state_.codec.read_response(head).attempt_id;
+        if (!attempt.empty() && attempt != order_.attempt_id) {
+            return false; // A late response to another call.
+        }
+        framing_ = head.framing;
+        header_list headers = state_.codec.caller_headers(head);
+        add_result(headers, forward_result::answered);
+        const body_framing own_framing =
+            framing_ == body_framing::until_close ? body_framing::chunked : framing_;
+        has_head_ = true;
+        exchange_->begin(head.status, headers, own_framing, head.content_length);
+        return true;
+    }
+    void do_body(std::string_view bytes) override {
+        state_.links.on_bytes();
+        if (!has_head_ || bytes.empty()) {
+            return;
+        }
+        has_body_ = true;
+        exchange_->write(bytes);
+        if (exchange_->unsent_bytes() > tcp_connection::high_water_bytes && call_) {
+            call_->pause();
+        }
+    }
+    void do_complete() override {
+        const auto self = shared_from_this();
+        if (!has_head_ || (framing_ == body_framing::until_close && !has_body_)) {
+            fail(forward_result::broken);
+            return;
+        }
+        exchange_->finish();
+        end();
+    }
+    void do_failed(call_failure failure) override {
+        const auto self = shared_from_this();
+        if (failure == call_failure::not_connected) {
+            state_.links.on_connect_failed();
+            fail(forward_result::not_sent);
+        } else {
+            fail(forward_result::broken);
+        }
+    }
+
+private:
+    void fail(forward_result result) {
+        if (has_head_) {
+            exchange_->abort();
+        } else {
+            respond_without_answer(*exchange_, result);
+        }
+        end();
+    }
+    void end() {
+        call_.reset();
+        exchange_.reset();
+        if (running_) {
+            --*running_;
+            running_.reset();
+            state_.links.on_attempt_ended();
+        }
+    }
+
+    serving_state& state_;
+    forward_order order_;
+    std::shared_ptr<http1_exchange> exchange_;
+    /// Null once the call has ended.
+    std::shared_ptr<std::size_t> running_;
+    std::unique_ptr<http1_call> call_;
+    body_framing framing_ = body_framing::none;
+    bool has_head_ = false;
+    bool has_body_ = false;
+};
+
+std::shared_ptr<exchange_events> call_forwarder::forward(const request_head& head, std::string body,
+                                                         std::shared_ptr<http1_exchange> exchange) {
+    absl::StatusOr<forward_order> order = parse_forward_order(head.headers);
+    if (!order.ok()) {
+        state_.log.write(peer_message_rejected, {{"why", std::string(order.status().message())}});
+        respond_without_answer(*exchange, forward_result::not_sent);
+        return nullptr;
+    }
+    const backend_list::entry* server = state_.backends.find(order->server);
+    if (state_.refuses_calls || state_.links.are_lost() || server == nullptr) {
+        respond_without_answer(*exchange, forward_result::not_sent);
+        return nullptr;
+    }
+    state_.metrics.on_forward();
+    auto call =
+        std::make_shared<forwarded_call>(state_, *std::move(order), std::move(exchange), running_);
+    call->begin(server->server.address, std::move(body));
+    return call;
+}
+
+} // namespace jujubetide
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -85,6 +85,8 @@
     void on_config() {
         callers->set_limits(
             make_http1_limits(state.config->limits(), state.settings.max_descriptors));
+        peer_answers->set_max_request_bytes(state.config->limits().max_header_bytes,
+                                            state.config->limits().max_body_bytes);
     }
     void check_stop();
     void abandon_calls();
@@ -152,6 +154,9 @@
     });
     parts->peers->on_newer_table(
         [service = parts->peer_answers.get()] { service->fetch_missing(); });
+    parts->state.links.set_peers(
+        [peers = parts->peers.get()] { return peers->forwarding_peers(); });
+    parts->state.links.on_change([peers = parts->peers.get()] { peers->send_heartbeat(); });
     parts->state.crashes.on_evidence([peers = parts->peers.get()] { peers->send_heartbeat(); });
     parts->feeds = std::make_unique<table_follow_policy>(
         parts->state, *parts->peers, parts->config_follower,
@@ -185,6 +190,7 @@
     components_->peers->start();
     components_->peer_follower->start();
     components_->peer_answers->start();
+    state.links.start();
     const bool has_duties = state.settings.reports_usage || state.settings.orders_servers;
     if (has_duties) {
         components_->lease->start();
@@ -235,7 +241,8 @@
         callers->stop_accepting();
         state.refuses_calls = true;
     }
-    if (!state.running_calls.empty() || callers->connections() > 0) {
+    if (!state.running_calls.empty() || callers->connections() > 0 ||
+        peer_answers->forwarded_calls() > 0) {
         last_busy = since;
     }
     const bool all_answered = since >= accept_time_after_stop && since - last_busy >= flush_time;
@@ -286,6 +293,7 @@
     now.server_connections_made = state.client.connections_opened();
     now.quarantined_parts = state.crashes.quarantined_parts();
     now.limited_servers = state.limits.limited_servers();
+    now.server_links_lost = state.links.are_lost();
     return state.metrics.text(now);
 }
 
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -142,6 +142,7 @@
     heartbeat.demand = state_.demand.busy_servers(state_.time.now());
     heartbeat.suspicions = state_.crashes.suspicions();
     heartbeat.server_limits = state_.limits.reports(state_.time.now());
+    heartbeat.reaches_servers = !state_.links.are_lost();
     const std::string bytes = encode(heartbeat);
     for (const auto& [node, other] : peers_) {
         socket_->send(other.record.peers, bytes);
@@ -184,6 +185,7 @@
     sender.is_leaving = heartbeat->is_leaving;
     sender.cores = heartbeat->cores;
     sender.reaches_store = heartbeat->reaches_store;
+    sender.reaches_servers = heartbeat->reaches_servers;
     sender.follows_tables = heartbeat->follows_tables;
     sender.holds_duties = heartbeat->holds_duties;
     sender.has_usage_history = heartbeat->has_usage_history;
@@ -317,10 +319,13 @@
 }
 
 std::vector<directory_entry> peer_exchange::directory() const {
+    // Nodes that do not reach the servers are named only while none does.
+    const bool any_reaches_servers = !state_.links.are_lost() || !forwarding_peers().empty();
     std::vector<directory_entry> live;
     std::vector<directory_entry> recently_live;
     for (const auto& [node, other] : peers_) {
-        if (other.is_leaving || other.is_row_removed || !other.is_ready) {
+        if (other.is_leaving || other.is_row_removed || !other.is_ready ||
+            (any_reaches_servers && !other.reaches_servers)) {
             continue;
         }
         if (is_live(other)) {
@@ -331,12 +336,24 @@
     }
     // A node that hears no peer is more likely cut off itself than all peers dead.
     std::vector<directory_entry> entries = live_peers() == 0 ? recently_live : live;
-    if (state_.is_ready() || entries.empty()) {
+    const bool names_itself =
+        state_.is_ready() && !(state_.links.are_lost() && any_reaches_servers);
+    if (names_itself || entries.empty()) {
         entries.push_back({state_.settings.caller_endpoint, state_.settings.cores});
     }
     return entries;
 }
 
+std::vector<forwarding_peer> peer_exchange::forwarding_peers() const {
+    std::vector<forwarding_peer> peers;
+    for (const auto& [node, other] : peers_) {
+        if (is_live(other) && other.is_ready && !other.is_leaving && other.reaches_servers) {
+            peers.push_back({node, other.record.peers});
+        }
+    }
+    return peers;
+}
+
 std::size_t peer_exchange::live_peers() const {
     return static_cast<std::size_t>(std::count_if(
         peers_.begin(), peers_.end(), [this](const auto& item) { return is_live(item.second); }));
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -72,6 +72,8 @@
     [[nodiscard]] incarnation own_incarnation() const { return start_; }
     /// Addresses to which callers may connect now, including this node while it is not leaving.
     [[nodiscard]] std::vector<directory_entry> directory() const;
+    /// The live peers that reach the backend servers.
+    [[nodiscard]] std::vector<forwarding_peer> forwarding_peers() const;
     /// Address of the live peer that has run longest and has the usage counts.
     [[nodiscard]] std::optional<endpoint> oldest_peer() const;
     /// Whether this node is one of the few that follow the store's tables on behalf of all nodes.
@@ -111,6 +113,7 @@
         bool is_leaving = false;
         double cores = 1.0;
         bool reaches_store = true;
+        bool reaches_servers = true;
         bool follows_tables = false;
         bool holds_duties = false;
         bool has_usage_history = false;
--- a/src/node/peer_heartbeat.cc
+++ b/src/node/peer_heartbeat.cc
@@ -112,7 +112,8 @@
                        std::move(demand),
                        std::move(readings),
                        std::move(suspicions),
-                       std::move(limits)};
+                       std::move(limits),
+                       heartbeat.reaches_servers};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -173,6 +174,9 @@
                 heartbeat.server_limits.push_back(to_limit_report(item));
             }
         }
+        if (index < body.size()) {
+            heartbeat.reaches_servers = body.at(index++).get<bool>();
+        }
         return heartbeat;
     } catch (const json::exception& error) {
         return absl::InvalidArgumentError(
--- a/src/node/peer_heartbeat.h
+++ b/src/node/peer_heartbeat.h
@@ -50,6 +50,8 @@
     std::vector<prompt_suspicion> suspicions;
     /// Limits that servers named in their last answers to this node.
     std::vector<server_limit_report> server_limits;
+    /// The node reaches the backend servers over connections of its own.
+    bool reaches_servers = true;
 };
 
 std::string encode(const peer_heartbeat& heartbeat);
--- a/src/node/peer_service.cc
+++ b/src/node/peer_service.cc
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -48,7 +49,8 @@
 
 peer_service::peer_service(serving_state& state, peer_exchange& peers,
                            std::vector<shared_table> tables)
-    : state_(state), peers_(peers), tables_(std::move(tables)), lagging_since_(tables_.size()) {}
+    : state_(state), peers_(peers), tables_(std::move(tables)), forwarder_(state),
+      lagging_since_(tables_.size()) {}
 
 void peer_service::start() {
     started_ = state_.time.now();
@@ -157,8 +159,11 @@
 }
 
 std::shared_ptr<exchange_events>
-peer_service::do_request(request_head head, std::string, time_point,
+peer_service::do_request(request_head head, std::string body, time_point,
                          std::shared_ptr<http1_exchange> exchange) {
+    if (head.target == forward_path) {
+        return forwarder_.forward(head, std::move(body), std::move(exchange));
+    }
     if (head.target == usage_path) {
         exchange->respond(
             ok_status, {},
@@ -173,6 +178,14 @@
     return nullptr;
 }
 
+void peer_service::set_max_request_bytes(std::size_t head, std::size_t body) {
+    // The request of a caller, with the headers that the node adds.
+    constexpr std::size_t added_bytes = 4'096;
+    http1_limits limits;
+    limits.max_body_bytes = std::max(limits.max_body_bytes, head + body + added_bytes);
+    server_->set_limits(limits);
+}
+
 std::optional<table_rows> peer_service::find_rows(std::string_view target) const {
     for (const shared_table& table : tables_) {
         std::string_view rest = target;
--- a/src/node/peer_service.h
+++ b/src/node/peer_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "node/call_forwarder.h"
 #include "node/peer_exchange.h"
 #include "node/peer_messages.h"
 #include "node/row_mirror.h"
@@ -15,7 +16,7 @@
 
 /// Serves to peers, and fetches from them, the usage counts of all nodes, needed by a node that has
 /// just started, and the shared tables, needed by nodes that do not follow the store or cannot
-/// reach it.
+/// reach it. Passes attempts of peers on to the backend servers.
 class peer_service final : public http1_handler {
 public:
     /// A table that peers may fetch from this node and this node from them.
@@ -33,6 +34,10 @@
     /// Starts the next fetch that is due, if none is running; to be called when a peer has newer
     /// rows.
     void fetch_missing();
+    /// Sets the longest request of a caller, which peers may pass on.
+    void set_max_request_bytes(std::size_t head, std::size_t body);
+    /// Attempts of peers that are being passed on.
+    [[nodiscard]] std::size_t forwarded_calls() const { return forwarder_.running(); }
     /// Whether the counts from before the start were fetched, or there was no peer to fetch them
     /// from.
     [[nodiscard]] bool has_usage_history() const { return has_usage_history_; }
@@ -58,6 +63,7 @@
     serving_state& state_;
     peer_exchange& peers_;
     std::vector<shared_table> tables_;
+    call_forwarder forwarder_;
     /// Since when a peer has had a newer change, for each table.
     std::vector<std::optional<time_point>> lagging_since_;
     std::unique_ptr<http1_server> server_;
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -1,5 +1,6 @@
 #include "node/proxied_call.h"
 
+#include "node/forward_message.h"
 #include "node/node_events.h"
 
 #include <absl/strings/str_cat.h>
@@ -220,6 +221,9 @@
         apply_step(retry_policy::fallback_step(progress_, last_outcome_), last_outcome_);
         return;
     }
+    if (!choose_path()) {
+        return;
+    }
     const std::optional<placement_choice> choice = choose_server();
     if (!choice && limited_count_ > 0 && !progress_.may_have_run) {
         refuse_within_limits();
@@ -238,6 +242,28 @@
     send(*choice);
 }
 
+bool proxied_call::choose_path() {
+    peer_.reset();
+    if (!state_.links.are_lost()) {
+        return true;
+    }
+    peer_ = state_.links.choose_peer();
+    if (peer_ || state_.links.carry_answers()) {
+        return true;
+    }
+    last_cause_ = "no_server_links";
+    if (progress_.may_have_run) {
+        apply_step(retry_policy::fallback_step(progress_, last_outcome_), last_outcome_);
+    } else {
+        const double spread = 1.0 + state_.random.uniform();
+        refuse(
+            last_cause_,
+            std::chrono::duration_cast<micros>(
+                std::chrono::duration<double, std::micro>(server_links::probe_interval) * spread));
+    }
+    return false;
+}
+
 void proxied_call::refuse_within_limits() {
     // Callers that were refused together must not return together.
     const double spread = 1.0 + state_.random.uniform();
@@ -291,14 +317,44 @@
                     seconds_per_output_token,
             sent_at_);
     }
-    call_ = state_.client.call(server_.address,
-                               serialize_request(request_.head.method, request_.head.target,
-                                                 state_.codec.server_headers(request_.head, fields),
-                                                 request_.body),
-                               options, *this);
+    send_request(serialize_request(request_.head.method, request_.head.target,
+                                   state_.codec.server_headers(request_.head, fields),
+                                   request_.body),
+                 options);
     start_stall_checks();
 }
 
+void proxied_call::send_request(const std::string& bytes, const call_options& options) {
+    if (!peer_) {
+        state_.links.on_attempt_begun();
+        call_ = state_.client.call(server_.address, bytes, options, *this);
+        return;
+    }
+    state_.metrics.on_sent_through_peer();
+    header_list headers = to_headers({server_.id, request_.fields.attempt_id, options.max_idle});
+    headers.add("Host", peer_->address.str());
+    call_ = state_.client.call(
+        peer_->address, serialize_request("POST", forward_path, headers, bytes), options, *this);
+}
+
+bool proxied_call::is_failed_forward(const response_head& head) {
+    // A response that does not say so was made before anything was sent to the server.
+    const forward_result result = read_result(head.headers).value_or(forward_result::not_sent);
+    switch (result) {
+    case forward_result::answered:
+        return false;
+    case forward_result::not_sent:
+        state_.health.on_unreachable(server_.id, state_.time.now());
+        on_attempt_failed(attempt_outcome::not_sent);
+        return true;
+    case forward_result::broken:
+        on_attempt_failed(progress_.has_begun ? attempt_outcome::broken_midway
+                                              : attempt_outcome::broken);
+        return true;
+    }
+    return true;
+}
+
 void proxied_call::start_stall_checks() {
     if (!is_stream() || !retry_policy::can_rerun(route_) || stall_timer_) {
         return;
@@ -319,12 +375,22 @@
     if (state_.time.now() - last_event_at_ < max_stall_time + expected) {
         return;
     }
-    state_.health.on_unreachable(server_.id, state_.time.now());
+    if (!peer_) {
+        state_.health.on_unreachable(server_.id, state_.time.now());
+    }
     on_attempt_failed(progress_.has_begun ? attempt_outcome::broken_midway
                                           : attempt_outcome::broken);
 }
 
 bool proxied_call::do_head(const response_head& head) {
+    if (peer_) {
+        const auto alive = shared_from_this();
+        if (is_failed_forward(head)) {
+            return true;
+        }
+    } else {
+        state_.links.on_bytes();
+    }
     response_fields_ = state_.codec.read_response(head);
     const bool success = is_success(head.status);
     const bool is_for_this_call = response_fields_.attempt_id == request_.fields.attempt_id;
@@ -332,6 +398,7 @@
         return false; // A late response to another call.
     }
     response_head_ = head;
+    response_head_.headers = without_result(head.headers);
     has_response_head_ = true;
     read_server_limit();
     if (success &&
@@ -367,6 +434,9 @@
     if (!has_response_head_) {
         return;
     }
+    if (!peer_) {
+        state_.links.on_bytes();
+    }
     if (is_stream() && is_success(response_head_.status)) {
         forward_events(bytes);
         return;
@@ -490,7 +560,12 @@
 void proxied_call::do_failed(call_failure failure) {
     const auto alive = shared_from_this();
     if (failure == call_failure::not_connected) {
-        state_.health.on_unreachable(server_.id, state_.time.now());
+        if (peer_) {
+            state_.links.on_peer_unreachable(peer_->node);
+        } else {
+            state_.health.on_unreachable(server_.id, state_.time.now());
+            state_.links.on_connect_failed();
+        }
         on_attempt_failed(attempt_outcome::not_sent);
         return;
     }
@@ -500,7 +575,7 @@
 void proxied_call::on_connection_broken() {
     const attempt_outcome outcome =
         progress_.has_begun ? attempt_outcome::broken_midway : attempt_outcome::broken;
-    if (has_engine_survived_ || request_.fields.prompt_parts.size() < 2) {
+    if (peer_ || has_engine_survived_ || request_.fields.prompt_parts.size() < 2) {
         on_attempt_failed(outcome);
         return;
     }
@@ -567,6 +642,7 @@
     state_.log.write(attempt_over,
                      {{"id", request_.fields.attempt_id},
                       {"server", server_.id.str()},
+                      {"through", peer_ ? peer_->node.str() : "-"},
                       {"outcome", last_cause_},
                       {"status", has_response_head_ ? std::to_string(response_head_.status) : "-"},
                       {"ms", ms_text(duration)},
@@ -632,6 +708,9 @@
         return;
     }
     call_.reset();
+    if (!peer_) {
+        state_.links.on_attempt_ended();
+    }
     state_.loads.on_ended(server_.id, attempt_has_events_ ? 0 : choice_.prefill_tokens,
                           choice_.held_tokens);
     sent_at_ = {};
@@ -703,6 +782,7 @@
                              {"service", service_ != nullptr ? service_->id.str() : "-"},
                              {"customer", customer_ != nullptr ? customer_->id.str() : "-"},
                              {"server", server_.id.str()},
+                             {"through", peer_ ? peer_->node.str() : "-"},
                              {"status", std::to_string(status)},
                              {"cause", std::string(cause)},
                              {"ms", ms_text(state_.time.now() - request_.received_at)},
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -63,9 +63,16 @@
     /// Passes on what the server's answer says about its limit.
     void read_server_limit();
     void refuse_within_limits();
+    /// Chooses whether the next attempt is sent through a peer; refuses or fails the call and
+    /// returns false if no server can be reached either way.
+    [[nodiscard]] bool choose_path();
     [[nodiscard]] bool would_miss_target(const placement_choice& choice) const;
     void try_next_server();
     void send(const placement_choice& choice);
+    /// Sends the attempt's request on the node's own connection or through a peer.
+    void send_request(const std::string& bytes, const call_options& options);
+    /// Whether the response of a peer only tells that it has no answer of the server; handles it.
+    bool is_failed_forward(const response_head& head);
     void forward_events(std::string_view bytes);
     void begin_stream_response();
     /// Whether the successful response that has just ended lacks a part of its body.
@@ -108,6 +115,8 @@
 
     // State of the current attempt.
     std::unique_ptr<http1_call> call_;
+    /// The peer through which the attempt is sent; empty for the node's own connection.
+    std::optional<forwarding_peer> peer_;
     backend_server server_;
     /// Number of usable servers at the last placement.
     std::size_t candidate_count_ = 0;
--- a/src/node/serving_metrics.cc
+++ b/src/node/serving_metrics.cc
@@ -36,6 +36,8 @@
                                "Streams that went on at another server, by service.")),
       store_calls_(counter(registry_, "jujubetide_store_calls_total",
                            "Calls to the platform's store by kind, table and outcome.")),
+      peer_attempts_(counter(registry_, "jujubetide_peer_attempts_total",
+                             "Attempts sent through a peer, and those of peers passed on.")),
       call_durations_(histogram(registry_, "jujubetide_call_seconds",
                                 "Time to the end of a call, by service and outcome.")),
       first_event_latencies_(histogram(registry_, "jujubetide_first_event_seconds",
@@ -70,6 +72,14 @@
     resumed_streams_.Add({{"service", service.str()}}).Increment();
 }
 
+void serving_metrics::on_sent_through_peer() {
+    peer_attempts_.Add({{"direction", "sent"}}).Increment();
+}
+
+void serving_metrics::on_forward() {
+    peer_attempts_.Add({{"direction", "passed_on"}}).Increment();
+}
+
 void serving_metrics::on_store_call(std::string_view kind, const std::string& table,
                                     std::string_view outcome) {
     store_calls_
@@ -98,6 +108,7 @@
     set("server_connections_made", static_cast<double>(now.server_connections_made));
     set("quarantined_parts", static_cast<double>(now.quarantined_parts));
     set("limited_servers", static_cast<double>(now.limited_servers));
+    set("server_links_lost", now.server_links_lost ? 1.0 : 0.0);
     return prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/src/node/serving_metrics.h
+++ b/src/node/serving_metrics.h
@@ -27,6 +27,10 @@
     void on_retry(const service_id& service);
     /// A stream was resumed at another server.
     void on_resume(const service_id& service);
+    /// An attempt was sent through a peer.
+    void on_sent_through_peer();
+    /// An attempt of a peer was passed on to a server.
+    void on_forward();
     /// A store call succeeded or failed.
     void on_store_call(std::string_view kind, const std::string& table, std::string_view outcome);
     void on_first_event(const service_id& service, micros latency);
@@ -47,6 +51,8 @@
         std::size_t quarantined_parts = 0;
         /// Servers that name a limit on their calls.
         std::size_t limited_servers = 0;
+        /// The node does not reach the servers over connections of its own.
+        bool server_links_lost = false;
     };
     /// All metrics in the Prometheus text format.
     [[nodiscard]] std::string text(const snapshot& now);
@@ -58,6 +64,7 @@
     prometheus::Family<prometheus::Counter>& retries_;
     prometheus::Family<prometheus::Counter>& resumed_streams_;
     prometheus::Family<prometheus::Counter>& store_calls_;
+    prometheus::Family<prometheus::Counter>& peer_attempts_;
     prometheus::Family<prometheus::Histogram>& call_durations_;
     prometheus::Family<prometheus::Histogram>& first_event_latencies_;
     prometheus::Family<prometheus::Gauge>& state_;
--- a/src/node/serving_state.h
+++ b/src/node/serving_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "node/crash_watch.h"
+#include "node/server_links.h"
 #include "node/serving_metrics.h"
 
 #include "jujubetide/base/clock.h"
@@ -56,6 +57,7 @@
     load_tracker loads;
     server_limits limits;
     server_health health;
+    server_links links{*this};
     crash_watch crashes{*this};
     prefix_cache_tracker prompts;
     engine_placement engines{loads, health, prompts};
--- a/src/serving/server_health.cc
+++ b/src/serving/server_health.cc
@@ -45,6 +45,13 @@
     ++server.consecutive_unreachable;
 }
 
+void server_health::forget_unreachable() {
+    for (auto& [id, server] : states_) {
+        server.consecutive_unreachable = 0;
+        server.paused_until = {};
+    }
+}
+
 bool server_health::is_paused(const backend_server_id& id, time_point now) const {
     const auto found = states_.find(id);
     return found != states_.end() && now < found->second.paused_until;
--- a/tests/node/peer_heartbeat_test.cc
+++ b/tests/node/peer_heartbeat_test.cc
@@ -67,9 +67,11 @@
     peer_heartbeat heartbeat;
     heartbeat.node = node_id("n1");
     heartbeat.suspicions = {{prompt_part_id("p"), std::nullopt, {}}};
+    heartbeat.server_limits = {{backend_server_id("i-1"), 1.5, millis{30}}};
+    heartbeat.reaches_servers = false;
     const std::string encoded = encode(heartbeat);
     const auto list = nlohmann::json::from_msgpack(encoded);
-    for (const std::size_t missing : {1U, 2U}) {
+    for (const std::size_t missing : {1U, 2U, 3U}) {
         nlohmann::json earlier = nlohmann::json::array();
         for (std::size_t i = 0; i + missing < list.size(); ++i) {
             earlier.push_back(list[i]);
@@ -79,8 +81,9 @@
             decode_heartbeat({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
         REQUIRE(decoded.ok());
         CHECK(decoded->node == node_id("n1"));
-        CHECK(decoded->server_limits.empty());
-        CHECK(decoded->suspicions.size() == 2 - missing);
+        CHECK(decoded->reaches_servers);
+        CHECK(decoded->server_limits.size() == (missing < 2 ? 1 : 0));
+        CHECK(decoded->suspicions.size() == (missing < 3 ? 1 : 0));
     }
 }
 
