Blame a server for a crash only while other servers are reached

Cause: a refused connection after a broken one was proof of a crash, whatever the host's other connections did.

Change: before it counts the crash, the host probes servers other than the suspect (server_links::check_others). If none is reached, there is no evidence. Where no other server is known, the crash counts as before.

Evidence: 'a node that loses its links to the servers does not take them for crashed' failed before (one server_crashed where connections are refused) and passes; the other cases about crashes pass.

--- a/src/node/crash_watch.cc
+++ b/src/node/crash_watch.cc
@@ -24,6 +24,7 @@
     finished_checks_.clear();
     const server_run_id run = run_of(server);
     running_check& running = checks_[run];
+    running.server = server.id;
     running.calls.push_back({std::move(parts), std::move(done)});
     if (!running.check) {
         running.check =
@@ -37,17 +38,30 @@
     running_check finished = std::move(node.mapped());
     // The handler that is running belongs to the check.
     finished_checks_.push_back(std::move(finished.check));
+    if (is_reachable) {
+        finish_check(run, finished.calls, false);
+        return;
+    }
+    // Where no other server is reached either, the host's own links are the likelier reason.
+    state_.links.check_others(finished.server,
+                              [this, run, calls = std::move(finished.calls)](bool reaches_others) {
+                                  finish_check(run, calls, reaches_others);
+                              });
+}
+
+void crash_watch::finish_check(const server_run_id& run, const std::vector<waiting_call>& calls,
+                               bool is_crash) {
     const std::set<prompt_part_id> before = quarantine_.quarantined();
     bool is_urgent = false;
-    if (!is_reachable) {
-        for (const waiting_call& call : finished.calls) {
+    if (is_crash) {
+        for (const waiting_call& call : calls) {
             is_urgent = quarantine_.on_crash(run, call.parts, state_.time.now()) || is_urgent;
         }
-        state_.log.write(server_crashed, {{"run", run.str()},
-                                          {"waiting_calls", absl::StrCat(finished.calls.size())}});
+        state_.log.write(server_crashed,
+                         {{"run", run.str()}, {"waiting_calls", absl::StrCat(calls.size())}});
     }
     apply_changes(before);
-    for (const waiting_call& call : finished.calls) {
+    for (const waiting_call& call : calls) {
         call.done();
     }
     if (is_urgent && on_evidence_) {
--- a/src/node/crash_watch.h
+++ b/src/node/crash_watch.h
@@ -47,11 +47,15 @@
         std::function<void()> done;
     };
     struct running_check {
+        backend_server_id server;
         std::unique_ptr<connect_check> check;
         std::vector<waiting_call> calls;
     };
 
     void on_checked(const server_run_id& run, bool is_reachable);
+    /// Counts the calls as crash evidence if `is_crash`, and continues them.
+    void finish_check(const server_run_id& run, const std::vector<waiting_call>& calls,
+                      bool is_crash);
     /// Logs what changed in the quarantine since `before`, and stops running calls that are blocked
     /// now.
     void apply_changes(const std::set<prompt_part_id>& before);
--- a/src/node/server_links.cc
+++ b/src/node/server_links.cc
@@ -62,12 +62,27 @@
     }
 }
 
-void server_links::begin_probes() {
+void server_links::check_others(const backend_server_id& suspect, std::function<void(bool)> done) {
+    if (are_lost_) {
+        done(false);
+        return;
+    }
+    if (!probe_) {
+        begin_probes(suspect);
+    }
+    if (!probe_) {
+        done(true);
+        return;
+    }
+    waiting_.push_back(std::move(done));
+}
+
+void server_links::begin_probes(const backend_server_id& excluded) {
     has_failed_connect_ = false;
     next_series_ = state_.time.now() + probe_interval;
     to_probe_.clear();
     for (const auto& [id, entry] : state_.backends.all()) {
-        if (!entry.server.leaving && !entry.lapsed_at) {
+        if (id != excluded && !entry.server.leaving && !entry.lapsed_at) {
             to_probe_.push_back(entry.server.address);
         }
     }
@@ -97,6 +112,9 @@
         last_progress_ = state_.time.now();
     }
     set_lost(!is_reached);
+    for (const auto& done : std::exchange(waiting_, {})) {
+        done(is_reached);
+    }
 }
 
 void server_links::set_lost(bool are_lost) {
--- a/src/node/server_links.h
+++ b/src/node/server_links.h
@@ -55,6 +55,10 @@
     void on_connect_failed() { has_failed_connect_ = true; }
     void on_peer_unreachable(const node_id& peer);
 
+    /// Calls `done` with whether servers other than `suspect` are reached, or with true if no other
+    /// is known; at once if the links are lost.
+    void check_others(const backend_server_id& suspect, std::function<void(bool)> done);
+
     [[nodiscard]] bool are_lost() const { return are_lost_; }
     /// Whether answers still arrive over the node's own connections.
     [[nodiscard]] bool carry_answers() const;
@@ -63,7 +67,8 @@
 
 private:
     void check();
-    void begin_probes();
+    /// Begins a series unless there is no server to probe.
+    void begin_probes(const backend_server_id& excluded = {});
     void probe_next();
     void on_probed(bool is_reached);
     void set_lost(bool are_lost);
@@ -79,6 +84,8 @@
     /// Addresses of the current series that are still to be probed; the last one is the next.
     std::vector<endpoint> to_probe_;
     std::unique_ptr<connect_check> probe_;
+    /// Receive the result of the current series.
+    std::vector<std::function<void(bool)>> waiting_;
     std::optional<forwarding_peer> paused_peer_;
     time_point peer_paused_until_{};
     std::unique_ptr<timer_subscription> timer_;
--- a/tests/node/server_links_test.cc
+++ b/tests/node/server_links_test.cc
@@ -71,6 +71,9 @@
     void run_stream(scripted_call& call) {
         ++runs[std::string(call.head.headers.find("X-Attempt-Id").value_or(""))];
         begin_events(call);
+        if (holds_streams) {
+            return;
+        }
         call.exchange->write(event_text(1) + event_text(2));
         call.exchange->finish();
     }
@@ -83,8 +86,12 @@
         recorded_call events;
         std::unique_ptr<http1_call> running;
     };
-    std::unique_ptr<sent_call> send(int number, const std::string& path, const std::string& id) {
+    std::unique_ptr<sent_call> send(int number, const std::string& path, const std::string& id,
+                                    const std::string& parts = "") {
         header_list headers;
+        if (!parts.empty()) {
+            headers.add("X-Prompt-Prefix", parts);
+        }
         headers.add("Host", "h.example");
         headers.add("X-Attempt-Id", id);
         headers.add("Authorization", "Token key");
@@ -135,6 +142,8 @@
     http1_client client{loop, time};
     std::map<std::string, int> runs;
     int calls = 0;
+    /// Model servers send the head of an answer and no event.
+    bool holds_streams = false;
 };
 
 } // namespace
@@ -153,3 +162,32 @@
     CHECK(served == sent);
     CHECK(fixture.most_runs() == 1);
 }
+
+TEST_CASE("a node that loses its links to the servers does not take them for crashed") {
+    const auto [name, cut] =
+        GENERATE(std::pair("silent", mode::silent), std::pair("refusing", mode::refusing));
+    INFO(name);
+    links_fixture fixture;
+    fixture.holds_streams = true;
+    std::vector<std::unique_ptr<links_fixture::sent_call>> running;
+    for (int i = 0; i < 6; ++i) {
+        running.push_back(fixture.send(0, "/stream/", absl::StrCat("held-", i),
+                                       absl::StrCat("aa:10,b", i, ":5")));
+    }
+    REQUIRE(run_until(fixture.loop, [&] { return fixture.runs.size() == running.size(); }));
+    fixture.set_links(0, cut);
+    REQUIRE(run_until(fixture.loop, [&] {
+        return std::all_of(running.begin(), running.end(),
+                           [](const auto& one) { return one->events.over(); });
+    }));
+    run_for(fixture.loop, millis{1'000});
+    fixture.holds_streams = false;
+    fixture.set_links(0, mode::open);
+    for (const auto& member : fixture.members) {
+        CHECK(member->log.count("server_crashed") == 0);
+        CHECK(member->log.count("prompt_part_quarantined") == 0);
+    }
+    const auto later = fixture.send(1, "/stream/", "later", "aa:10,c:5");
+    REQUIRE(run_until(fixture.loop, [&] { return later->events.over(); }));
+    CHECK(later->events.head.status == 200);
+}
