Keep the rejections of brittle servers within what they can stand

Change: platform/ decodes the statement; brittle_servers divides the seen room among the nodes by estimate, and pauses after a rejection. Events 7046 to 7048.

Ruled out: turns of the nodes (docs/DESIGN.md). heartbeats and other paths are unchanged.

--- a/include/jujubetide/node/call_codec.h
+++ b/include/jujubetide/node/call_codec.h
@@ -59,6 +59,10 @@
     std::optional<double> calls_per_second;
     /// A limit was sent that is not a number of calls per second.
     bool has_malformed_limit = false;
+    /// Rejections in a second that the server can stand, if it says that it is brittle.
+    std::optional<std::uint32_t> rejections_per_second;
+    /// The server says that it is brittle, without a number of rejections.
+    bool has_malformed_brittleness = false;
 };
 
 /// Converts between HTTP headers of callers and backend servers and the node's fields.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -293,6 +293,7 @@
     now.server_connections_made = state.client.connections_opened();
     now.quarantined_parts = state.crashes.quarantined_parts();
     now.limited_servers = state.limits.limited_servers();
+    now.brittle_servers = state.brittle.count();
     now.server_links_lost = state.links.are_lost();
     return state.metrics.text(now);
 }
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -38,6 +38,10 @@
                                                  "server_limit_rejected"};
 inline constexpr log_event server_links_lost{7044, log_severity::warning, "server_links_lost"};
 inline constexpr log_event server_links_restored{7045, log_severity::info, "server_links_restored"};
+inline constexpr log_event server_brittle{7046, log_severity::info, "server_brittle"};
+inline constexpr log_event server_brittle_ended{7047, log_severity::info, "server_brittle_ended"};
+inline constexpr log_event server_brittleness_rejected{7048, log_severity::warning,
+                                                       "server_brittleness_rejected"};
 inline constexpr log_event peer_found{7040, log_severity::info, "peer_found"};
 inline constexpr log_event peer_lost{7041, log_severity::warning, "peer_lost"};
 inline constexpr log_event peer_message_rejected{7042, log_severity::warning,
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -184,11 +184,15 @@
     limited_count_ = 0;
     limited_interval_ = micros::max();
     std::erase_if(servers, [this](const backend_server* server) {
-        if (state_.limits.may_send(server->id, state_.time.wall_now())) {
+        const bool has_room = state_.brittle.may_send(
+            server->id, server->slots, state_.loads.total(server->id).running, state_.time.now());
+        if (has_room && state_.limits.may_send(server->id, state_.time.wall_now())) {
             return false;
         }
         ++limited_count_;
-        limited_interval_ = std::min(limited_interval_, state_.limits.call_interval(server->id));
+        limited_interval_ =
+            std::min(limited_interval_, has_room ? state_.limits.call_interval(server->id)
+                                                 : brittle_servers::report_delay);
         return true;
     });
     return servers;
@@ -401,6 +405,7 @@
     response_head_.headers = without_result(head.headers);
     has_response_head_ = true;
     read_server_limit();
+    read_brittleness();
     if (success &&
         (!is_for_this_call || !response_fields_.is_signed || response_fields_.is_encoded)) {
         on_attempt_failed(attempt_outcome::broken);
@@ -430,6 +435,26 @@
     }
 }
 
+void proxied_call::read_brittleness() {
+    if (response_fields_.wrong_server || state_.backends.find(server_.id) == nullptr) {
+        return;
+    }
+    if (response_fields_.has_malformed_brittleness) {
+        state_.log.write(server_brittleness_rejected, {{"server", server_.id.str()}});
+        return;
+    }
+    const std::optional<std::uint32_t> number = response_fields_.rejections_per_second;
+    if (!state_.brittle.on_answer(server_.id, number)) {
+        return;
+    }
+    if (number) {
+        state_.log.write(server_brittle, {{"server", server_.id.str()},
+                                          {"rejections_per_second", absl::StrCat(*number)}});
+    } else {
+        state_.log.write(server_brittle_ended, {{"server", server_.id.str()}});
+    }
+}
+
 void proxied_call::do_body(std::string_view bytes) {
     if (!has_response_head_) {
         return;
@@ -625,6 +650,7 @@
         break;
     case attempt_outcome::not_run:
         ++progress_.servers_tried;
+        state_.brittle.on_rejected(server_.id, now);
         state_.health.on_bad_answer(server_.id, now);
         break;
     case attempt_outcome::error_answer:
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -62,6 +62,8 @@
     [[nodiscard]] std::vector<const backend_server*> candidates();
     /// Passes on what the server's answer says about its limit.
     void read_server_limit();
+    /// Passes on what the server's answer says about the rejections that it can stand.
+    void read_brittleness();
     void refuse_within_limits();
     /// Chooses whether the next attempt is sent through a peer; refuses or fails the call and
     /// returns false if no server can be reached either way.
--- a/src/node/serving_metrics.h
+++ b/src/node/serving_metrics.h
@@ -51,6 +51,8 @@
         std::size_t quarantined_parts = 0;
         /// Servers that name a limit on their calls.
         std::size_t limited_servers = 0;
+        /// Servers that say that they fall over when they reject too many calls.
+        std::size_t brittle_servers = 0;
         /// The node does not reach the servers over connections of its own.
         bool server_links_lost = false;
     };
--- a/src/node/serving_state.h
+++ b/src/node/serving_state.h
@@ -12,6 +12,7 @@
 #include "jujubetide/node/call_codec.h"
 #include "jujubetide/node/node_settings.h"
 #include "jujubetide/serving/backend_list.h"
+#include "jujubetide/serving/brittle_servers.h"
 #include "jujubetide/serving/demand_meter.h"
 #include "jujubetide/serving/engine_placement.h"
 #include "jujubetide/serving/load_tracker.h"
@@ -56,6 +57,7 @@
     backend_list backends;
     load_tracker loads;
     server_limits limits;
+    brittle_servers brittle{random};
     server_health health;
     server_links links{*this};
     crash_watch crashes{*this};
--- a/src/node/table_observers.cc
+++ b/src/node/table_observers.cc
@@ -113,6 +113,7 @@
         state_.health.forget(server.id);
         state_.prompts.forget(server.id);
         state_.limits.forget(server.id);
+        state_.brittle.forget(server.id);
     }
     state_.backends.put(server);
 }
@@ -132,6 +133,7 @@
         state_.health.forget(id);
         state_.prompts.forget(id);
         state_.limits.forget(id);
+        state_.brittle.forget(id);
         state_.log.write(server_gone, {{"server", id.str()}});
     }
 }
