--- a/src/net/uv_tcp_connection.cc
+++ b/src/net/uv_tcp_connection.cc
@@ -17,6 +17,8 @@
 constexpr int max_unanswered_probes = 2;
 /// Longest time for which sent bytes may stay unacknowledged, in milliseconds.
 constexpr unsigned int user_timeout_ms = 3'000;
+// Where TCP_USER_TIMEOUT is set, Linux gives up keep-alive probes by it, whatever their number.
+static_assert(user_timeout_ms == 1'000U * probe_interval_s * (1 + max_unanswered_probes));
 
 struct queued_write {
     uv_write_t request{};
