Take calls that may run twice off dead connections when the links are lost

A call that waited on a kept connection when its host was cut off waited until its timeout: the connection gives no error for 3 s, and plain calls had no check of their own.

Change: when the links are found lost, attempts over connections that have been silent for the stall limit end as broken; where the route lets them run twice they are sent again through a peer, within the retry budget.

Evidence: 'a call that waits on a dead link is sent again through a peer where it may run twice' failed before (504) and passes; the call that may run once still ends with 504 and runs at most once.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -88,6 +88,7 @@
         peer_answers->set_max_request_bytes(state.config->limits().max_header_bytes,
                                             state.config->limits().max_body_bytes);
     }
+    void on_links_changed();
     void check_stop();
     void abandon_calls();
 
@@ -156,7 +157,7 @@
         [service = parts->peer_answers.get()] { service->fetch_missing(); });
     parts->state.links.set_peers(
         [peers = parts->peers.get()] { return peers->forwarding_peers(); });
-    parts->state.links.on_change([peers = parts->peers.get()] { peers->send_heartbeat(); });
+    parts->state.links.on_change([all = parts.get()] { all->on_links_changed(); });
     parts->state.crashes.on_evidence([peers = parts->peers.get()] { peers->send_heartbeat(); });
     parts->feeds = std::make_unique<table_follow_policy>(
         parts->state, *parts->peers, parts->config_follower,
@@ -226,6 +227,17 @@
                                                  [this] { components_->check_stop(); });
 }
 
+void node::components::on_links_changed() {
+    peers->send_heartbeat();
+    if (!state.links.are_lost()) {
+        return;
+    }
+    const auto running = state.running_calls;
+    for (const auto& call : running) {
+        call->on_links_lost();
+    }
+}
+
 void node::components::abandon_calls() {
     const auto running = state.running_calls;
     state.log.write(calls_abandoned, {{"running_calls", std::to_string(running.size())}});
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -630,6 +630,14 @@
     }
 }
 
+void proxied_call::on_links_lost() {
+    const bool is_silent = state_.time.now() - last_event_at_ >= server_links::stall_limit;
+    if (call_ && !peer_ && is_silent && retry_policy::can_rerun(route_)) {
+        on_attempt_failed(progress_.has_begun ? attempt_outcome::broken_midway
+                                              : attempt_outcome::broken);
+    }
+}
+
 void proxied_call::on_attempt_failed(attempt_outcome outcome) {
     const auto alive = shared_from_this();
     record_failed_attempt(outcome);
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -41,6 +41,9 @@
     }
     /// Cancels the running attempt and fails the call, unless the answer has begun.
     void stop_before_answer();
+    /// The node has lost its links to the servers: ends an attempt over a connection that has been
+    /// silent, so that it is sent again where the call may run twice.
+    void on_links_lost();
     /// Ends the call because the node shuts down: with its final status unless the answer has
     /// begun.
     void abandon();
--- a/tests/node/server_links_test.cc
+++ b/tests/node/server_links_test.cc
@@ -191,3 +191,17 @@
     REQUIRE(run_until(fixture.loop, [&] { return later->events.over(); }));
     CHECK(later->events.head.status == 200);
 }
+
+TEST_CASE("a call that waits on a dead link is sent again through a peer where it may run twice") {
+    links_fixture fixture;
+    // The connection stays open, so that only the silence shows the cut.
+    fixture.call_for(0, millis{300});
+    fixture.set_links(0, mode::silent);
+    const auto sent = fixture.send(0, "/often/", "waiting");
+    const auto once = fixture.send(0, "/once/", "waiting-once");
+    REQUIRE(run_until(
+        fixture.loop, [&] { return sent->events.over() && once->events.over(); }, millis{5'000}));
+    CHECK(sent->events.head.status == 200);
+    CHECK(once->events.head.status == 504);
+    CHECK(fixture.runs["waiting-once"] <= 1);
+}
