--- a/tests/serving/brittle_servers_test.cc
+++ b/tests/serving/brittle_servers_test.cc
@@ -5,7 +5,9 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,114 +48,147 @@
     int rejected = 0;
 };
 
-/// Plays `seconds` of calls that arrive at random nodes, `rate` a second for each of four servers.
-/// `is_guarded` uses `brittle_servers`; otherwise calls go to the server with the fewest.
-played play(std::size_t nodes, std::size_t slots, std::uint32_t allowed, double rate,
-            micros duration, bool is_guarded, std::uint64_t seed) {
-    constexpr std::size_t server_count = 4;
-    constexpr micros heartbeat{300'000};
-    constexpr int seconds = 30;
-    seeded_random random(seed);
-    std::vector<brittle_engine> engines(server_count, {slots, allowed, {}, {}, 0});
-    std::vector<backend_server_id> ids;
-    for (std::size_t i = 0; i < server_count; ++i) {
-        ids.emplace_back("i-" + std::to_string(i));
-    }
-    std::vector<brittle_servers> guards;
-    for (std::size_t i = 0; i < nodes; ++i) {
-        guards.emplace_back(random);
+/// Four servers, and nodes at which calls arrive at random. Guarded nodes use `brittle_servers`;
+/// others send every call to the server with the fewest.
+class brittle_model {
+public:
+    struct shape {
+        std::size_t nodes;
+        std::size_t slots;
+        std::uint32_t allowed;
+        micros duration;
+    };
+
+    brittle_model(const shape& of, bool is_guarded, std::uint64_t seed)
+        : shape_(of), is_guarded_(is_guarded), random_(seed),
+          engines_(server_count, {of.slots, of.allowed, {}, {}, 0}),
+          own_(of.nodes, std::vector<std::size_t>(server_count)), told_(own_) {
+        for (std::size_t i = 0; i < server_count; ++i) {
+            ids_.emplace_back("i-" + std::to_string(i));
+        }
+        for (std::size_t i = 0; i < of.nodes; ++i) {
+            guards_.emplace_back(random_);
+            guards_.back().set_nodes(of.nodes);
+            for (const auto& id : ids_) {
+                guards_.back().on_answer(id, of.allowed);
+            }
+        }
     }
-    // Calls that run, by node and server, and what the node's last heartbeat said of them.
-    using counts = std::vector<std::vector<std::size_t>>;
-    counts own(nodes, std::vector<std::size_t>(server_count));
-    counts told = own;
-    std::vector<std::tuple<time_point, std::size_t, std::size_t>> ends;
-    for (std::size_t i = 0; i < nodes; ++i) {
-        guards[i].set_nodes(nodes);
-        for (const auto& id : ids) {
-            guards[i].on_answer(id, allowed);
+    /// Plays 30 s with `rate` calls a second for each server.
+    played play(double rate) {
+        constexpr micros length = std::chrono::seconds(30);
+        const double calls_per_tick =
+            rate * server_count * std::chrono::duration<double>(tick).count();
+        double due = 0.0;
+        for (; now_.time_since_epoch() < length; now_ += tick) {
+            end_calls();
+            send_heartbeats();
+            due += calls_per_tick;
+            while (due > 0.0) {
+                place_call(random_.below(shape_.nodes));
+                due += std::log(1.0 - random_.uniform()); // Exponential gaps.
+            }
+        }
+        for (const brittle_engine& engine : engines_) {
+            result_.falls += engine.falls;
         }
+        return result_;
     }
-    played result;
-    constexpr micros tick{5'000};
-    time_point now{};
-    for (; now.time_since_epoch() < std::chrono::seconds(seconds); now += tick) {
-        std::erase_if(ends, [&](const auto& end) {
-            if (std::get<0>(end) > now) {
+
+private:
+    static constexpr std::size_t server_count = 4;
+    static constexpr micros tick{5'000};
+    static constexpr micros heartbeat{300'000};
+    struct running_call {
+        time_point end;
+        std::size_t node;
+        std::size_t server;
+    };
+
+    void end_calls() {
+        std::erase_if(running_, [this](const running_call& call) {
+            if (call.end > now_) {
                 return false;
             }
-            --own[std::get<1>(end)][std::get<2>(end)];
+            --own_[call.node][call.server];
             return true;
         });
-        for (std::size_t i = 0; i < nodes; ++i) {
-            const micros phase = heartbeat * static_cast<int>(i) / static_cast<int>(nodes);
-            if ((now.time_since_epoch() - phase) / tick % (heartbeat / tick) == 0) {
-                told[i] = own[i];
+    }
+    void send_heartbeats() {
+        for (std::size_t i = 0; i < shape_.nodes; ++i) {
+            const micros phase = heartbeat * static_cast<int>(i) / static_cast<int>(shape_.nodes);
+            if ((now_.time_since_epoch() - phase) / tick % (heartbeat / tick) == 0) {
+                told_[i] = own_[i];
             }
         }
-        const double expected = rate * server_count * 0.005;
-        for (double left = expected; left > 0.0; left -= 1.0) {
-            if (random.uniform() >= left) {
-                continue;
-            }
-            const std::size_t node = random.below(nodes);
-            std::optional<std::size_t> chosen;
-            std::size_t fewest = 0;
-            const std::size_t first = random.below(server_count);
-            for (std::size_t step = 0; step < server_count; ++step) {
-                const std::size_t i = (first + step) % server_count;
-                std::size_t running = own[node][i];
-                for (std::size_t other = 0; other < nodes; ++other) {
-                    running += other == node ? 0 : told[other][i];
-                }
-                if (is_guarded && !guards[node].may_send(ids[i], slots, running, now)) {
-                    continue;
-                }
-                if (!chosen || running < fewest) {
-                    chosen = i;
-                    fewest = running;
-                }
-            }
-            if (!chosen) {
-                continue;
-            }
-            if (engines[*chosen].accept(now, duration)) {
-                ++own[node][*chosen];
-                ends.emplace_back(now + duration, node, *chosen);
-                ++result.served;
-            } else {
-                guards[node].on_rejected(ids[*chosen], now);
-                ++result.rejected;
+    }
+    /// The calls at a server that `node` knows of.
+    [[nodiscard]] std::size_t known_calls(std::size_t node, std::size_t server) const {
+        std::size_t sum = own_[node][server];
+        for (std::size_t other = 0; other < shape_.nodes; ++other) {
+            sum += other == node ? 0 : told_[other][server];
+        }
+        return sum;
+    }
+    std::optional<std::size_t> choose(std::size_t node) {
+        std::optional<std::size_t> chosen;
+        std::size_t fewest = 0;
+        const std::size_t first = random_.below(server_count);
+        for (std::size_t step = 0; step < server_count; ++step) {
+            const std::size_t i = (first + step) % server_count;
+            const std::size_t calls = known_calls(node, i);
+            const bool may_send =
+                !is_guarded_ || guards_[node].may_send(ids_[i], shape_.slots, calls, now_);
+            if (may_send && (!chosen || calls < fewest)) {
+                chosen = i;
+                fewest = calls;
             }
         }
+        return chosen;
     }
-    for (const brittle_engine& engine : engines) {
-        result.falls += engine.falls;
+    void place_call(std::size_t node) {
+        const std::optional<std::size_t> server = choose(node);
+        if (!server) {
+            return;
+        }
+        if (engines_[*server].accept(now_, shape_.duration)) {
+            ++own_[node][*server];
+            running_.push_back({now_ + shape_.duration, node, *server});
+            ++result_.served;
+        } else {
+            guards_[node].on_rejected(ids_[*server], now_);
+            ++result_.rejected;
+        }
     }
-    return result;
-}
+
+    shape shape_;
+    bool is_guarded_;
+    seeded_random random_;
+    std::vector<brittle_engine> engines_;
+    std::vector<backend_server_id> ids_;
+    std::vector<brittle_servers> guards_;
+    // Calls that run, by node and server, and what the node's last heartbeat said of them.
+    std::vector<std::vector<std::size_t>> own_;
+    std::vector<std::vector<std::size_t>> told_;
+    std::vector<running_call> running_;
+    time_point now_{};
+    played result_;
+};
 
 } // namespace
 
 TEST_CASE("brittle servers under more calls than they have room for do not fall") {
-    struct variant {
-        std::size_t nodes;
-        std::size_t slots;
-        std::uint32_t allowed;
-        micros duration;
-    };
     // Falls that the rule allows to one service: two and a tenth of its servers.
     constexpr int allowed_falls = 2;
-    for (const variant& of : {variant{7, 6, 3, millis{150}}, variant{7, 64, 3, millis{1'500}},
-                              variant{72, 16, 4, millis{1'500}}, variant{72, 6, 2, millis{150}}}) {
+    using shape = brittle_model::shape;
+    for (const shape& of : {shape{7, 6, 3, millis{150}}, shape{7, 64, 3, millis{1'500}},
+                            shape{72, 16, 4, millis{1'500}}, shape{72, 6, 2, millis{150}}}) {
         const double capacity =
             static_cast<double>(of.slots) / std::chrono::duration<double>(of.duration).count();
         for (std::uint64_t seed = 1; seed <= 10; ++seed) {
             INFO(of.nodes << " nodes, " << of.slots << " slots, seed " << seed);
-            const played guarded =
-                play(of.nodes, of.slots, of.allowed, capacity * 1.5, of.duration, true, seed);
-            const played unguarded =
-                play(of.nodes, of.slots, of.allowed, capacity * 1.5, of.duration, false, seed);
+            const played guarded = brittle_model(of, true, seed).play(capacity * 1.5);
+            const played unguarded = brittle_model(of, false, seed).play(capacity * 1.5);
             CHECK(unguarded.falls > allowed_falls);
             CHECK(guarded.falls <= allowed_falls);
             CHECK(guarded.served > 0);
--- a/tests/support/cuttable_link.cc
+++ b/tests/support/cuttable_link.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <netinet/in.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -21,10 +22,12 @@
         const auto* bound = reinterpret_cast<const sockaddr*>(&address);
         const int enabled = 1;
         setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
-        bind(listener_, bound, sizeof address);
-        ::listen(listener_, 0);
+        if (bind(listener_, bound, sizeof address) != 0 || ::listen(listener_, 0) != 0) {
+            throw std::runtime_error("cannot listen on the link's port");
+        }
         for (const int filler : fillers_) {
-            connect(filler, bound, sizeof address);
+            // In progress at its return; whether it ends does not matter.
+            static_cast<void>(connect(filler, bound, sizeof address));
         }
     }
     ~silent_listener() {
