--- a/tests/node/server_links_test.cc
+++ b/tests/node/server_links_test.cc
@@ -147,6 +147,7 @@
         int served = 0;
         while (time.now() < end) {
             std::vector<std::unique_ptr<sent_call>> running;
+            running.reserve(paths.size());
             for (const std::string& path : paths) {
                 running.push_back(send(number, path, absl::StrCat("call-", ++calls)));
             }
@@ -209,8 +210,10 @@
     INFO(name);
     links_fixture fixture;
     fixture.holds_streams = true;
+    constexpr int call_count = 6;
     std::vector<std::unique_ptr<links_fixture::sent_call>> running;
-    for (int i = 0; i < 6; ++i) {
+    running.reserve(call_count);
+    for (int i = 0; i < call_count; ++i) {
         running.push_back(fixture.send(0, "/stream/", absl::StrCat("held-", i),
                                        absl::StrCat("aa:10,b", i, ":5")));
     }
