Plan the cheapest servers that outlast the loss of failure domains

Engines generate tokens between the chunks of the prompts that they read, so generation takes places, not the time for prompts: 9 busy servers were counted where prompts took 2.2. - The planner multiplied that by constants (utilisation 0.45, as many reclaimable servers again, 0.3 reliable besides) whatever a server costs, and did not see places and KV cache at all. - An order was repeated only when the wanted count changed: reclaimed servers never came back until then. A refusal (409) was only logged; reliable servers were ordered seconds later, by a timeout.

Change: load in three parts (time for prompts, places, KV cache); a forecast with the peak and the rise seen within a boot time; square-root staffing for targets; the cheapest mix of reliable and reclaimable servers that also keeps up while one, two or three failure domains are lost, with a reliable floor for when no node can order; lost groups are ordered again, refused ones made up for at once; reliable servers leave only when their replacements serve.

--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -35,8 +35,6 @@
 constexpr micros min_retry_after{100'000};
 /// Maximum retry delay for a caller that was refused because of servers' limits.
 constexpr micros max_limited_retry_after{2'000'000};
-/// Server time per output token in a batch of usual size, in seconds.
-constexpr double seconds_per_output_token = 0.0009;
 /// Engine priorities: callers' priorities count from 0, the engines' default is 5.
 constexpr int first_engine_priority = 2;
 constexpr int last_engine_priority = 9;
@@ -313,13 +311,11 @@
     state_.loads.on_sent(server_.id, choice_.prefill_tokens, choice_.held_tokens);
     state_.limits.on_sent(server_.id, state_.time.wall_now());
     if (progress_.servers_tried == 0 && progress_.undelivered_sends == 0) {
-        state_.demand.add(
-            service_->id,
-            state_.engines.prefill_seconds(service_->id, choice_.prefill_tokens) +
-                static_cast<double>(choice_.held_tokens -
-                                    std::min(choice_.held_tokens, request_.fields.prompt_tokens)) *
-                    seconds_per_output_token,
-            sent_at_);
+        // Engines generate tokens between the chunks of the prompts that they read: generation
+        // takes places, but hardly any of the time for prompts.
+        state_.demand.add(service_->id,
+                          state_.engines.prefill_seconds(service_->id, choice_.prefill_tokens),
+                          sent_at_);
     }
     send_request(serialize_request(request_.head.method, request_.head.target,
                                    state_.codec.server_headers(request_.head, fields),
--- a/src/node/server_scaler.cc
+++ b/src/node/server_scaler.cc
@@ -52,20 +52,38 @@
         ++present[{server->failure_domain, server->reclaimable}];
     }
     const auto found = demand.find(service.id);
-    const double busy_servers = found == demand.end() ? 0.0 : found->second;
+    service_load load = running_load(service);
+    load.busy = found == demand.end() ? 0.0 : found->second;
     const server_counts wanted =
-        planners_[service.id].plan(*service.scaling, busy_servers, present, state_.time.now());
+        planners_[service.id].plan(*service.scaling, load, present, state_.time.now());
     for (const auto& [group, count] : wanted) {
         order_state& order = orders_[{service.id, group}];
         order.wanted = count;
-        order.busy_servers = busy_servers;
-        if (!order.pending && order.accepted_count != count &&
-            state_.time.now() >= order.retry_at) {
+        order.load = load;
+        const bool is_due = order.accepted_count != count || planners_[service.id].is_short(group);
+        if (!order.pending && is_due && state_.time.now() >= order.retry_at) {
             send(service.id, group, order);
         }
     }
 }
 
+service_load server_scaler::running_load(const serving_service& service) const {
+    service_load load;
+    for (const auto& [id, entry] : state_.backends.all()) {
+        if (entry.server.service != service.id) {
+            continue;
+        }
+        const server_load running = state_.loads.total(id);
+        load.occupied += static_cast<double>(running.running) /
+                         static_cast<double>(std::max<std::size_t>(1, entry.server.slots));
+        if (service.engine && service.engine->kv_tokens.value() > 0) {
+            load.memory += static_cast<double>(running.held_tokens) /
+                           static_cast<double>(service.engine->kv_tokens.value());
+        }
+    }
+    return load;
+}
+
 void server_scaler::send(const service_id& service, const server_group& group, order_state& order) {
     const auto fencing = lease_.permit();
     if (!fencing.ok()) {
@@ -73,27 +91,33 @@
     }
     order.pending = true;
     const unsigned count = order.wanted;
-    const double busy_servers = order.busy_servers;
+    const service_load load = order.load;
     calls_.order_servers(
         {state_.settings.node, *fencing}, {service, group.failure_domain, group.reclaimable, count},
-        [this, service, group, count, busy_servers](const absl::Status& result) {
+        [this, service, group, count, load](const absl::Status& result) {
             state_.log.write(result.ok() ? servers_ordered : servers_not_ordered,
                              {{"service", service.str()},
                               {"failure_domain", group.failure_domain.str()},
                               {"reclaimable", group.reclaimable ? "yes" : "no"},
                               {"count", absl::StrCat(count)},
-                              {"busy_servers", absl::StrFormat("%.2f", busy_servers)},
+                              {"busy_servers", absl::StrFormat("%.2f", load.busy)},
+                              {"occupied_servers", absl::StrFormat("%.2f", load.occupied)},
+                              {"memory_servers", absl::StrFormat("%.2f", load.memory)},
                               {"result", std::string(result.message())}});
             const auto found = orders_.find({service, group});
             if (found == orders_.end()) {
                 return; // The duties were lost in the meantime.
             }
             found->second.pending = false;
+            found->second.retry_at = state_.time.now() + (result.ok() ? micros{0} : retry_delay);
             if (result.ok()) {
                 found->second.accepted_count = count;
-            } else {
-                found->second.accepted_count.reset();
-                found->second.retry_at = state_.time.now() + retry_delay;
+                planners_[service].on_order_accepted(group, state_.time.now());
+                return;
+            }
+            found->second.accepted_count.reset();
+            if (absl::IsAborted(result)) {
+                planners_[service].on_order_refused(group);
             }
         });
 }
--- a/src/node/server_scaler.h
+++ b/src/node/server_scaler.h
@@ -22,14 +22,16 @@
 private:
     struct order_state {
         unsigned wanted = 0;
-        /// The demand on which the order is based, in busy servers.
-        double busy_servers = 0.0;
+        /// The load on which the order is based.
+        service_load load;
         std::optional<unsigned> accepted_count;
         bool pending = false;
         time_point retry_at{};
     };
     void step();
     void plan(const serving_service& service, const std::map<service_id, double>& demand);
+    /// The places and the memory that the service's calls in progress take.
+    [[nodiscard]] service_load running_load(const serving_service& service) const;
     void send(const service_id& service, const server_group& group, order_state& order);
 
     serving_state& state_;
--- a/src/serving/scaling_planner.cc
+++ b/src/serving/scaling_planner.cc
@@ -1,28 +1,33 @@
 #include "jujubetide/serving/scaling_planner.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <functional>
+#include <limits>
+#include <utility>
 #include <vector>
 
 namespace jujubetide {
 namespace {
 
-/// Utilisation of a server at which calls still meet their latency targets.
-constexpr double target_utilisation = 0.45;
-/// Servers in addition to those needed on average, for bursts.
-constexpr double spare_servers = 1.0;
-/// Time constant of the decay of a past peak, in seconds.
-constexpr double peak_decay_s = 20.0;
-/// Minimum fraction of the needed servers that is not reclaimable.
-constexpr double min_reliable_fraction = 0.3;
-/// Reclaimable servers as a multiple of those needed; together with the reliable ones, enough
-/// remain when one of four failure domains is lost.
-constexpr double reclaimable_factor = 1.0;
+/// Servers beyond the load, as a multiple of its square root: with random arrivals this keeps the
+/// probability that a call waits for a server about the same at every size.
+constexpr double staffing_factor = 1.7;
+/// Highest utilisation after the loss of the reclaimable servers of one, two and three failure
+/// domains. Beyond 1, the priorities of routes and customers decide who is served until
+/// replacements have booted.
+constexpr std::array max_utilisation_after_loss{0.6, 0.7, 1.0};
+/// Highest utilisation after the loss of all reclaimable servers at a moment when no node can order
+/// others.
+constexpr double max_utilisation_all_lost = 2.0;
+/// Fractions of the places and of the KV cache that may be taken; placement does not fill every
+/// server evenly, and cached prompts need memory too.
+constexpr double usable_places = 0.75;
+constexpr double usable_memory = 0.7;
 /// Time beyond the boot time after which an ordered server counts as unavailable.
 constexpr micros order_slack{1'500'000};
-/// Time for which a group that lost servers is not expected to get new ones.
-constexpr micros loss_cooldown{10'000'000};
-/// Reliable servers are released only after they were not needed for this long.
+/// Servers are released only after they were not needed for this long.
 constexpr micros scale_down_delay{8'000'000};
 /// The demand counts as measured this long after the first calls; until then no reliable server is
 /// released.
@@ -30,111 +35,218 @@
 /// Demand below this counts as no demand, in servers.
 constexpr double min_demand = 0.05;
 
-std::vector<failure_domain_id> by_price(const scaling_limits& limits) {
-    std::vector<failure_domain_id> domains;
-    for (const auto& [domain, price] : limits.prices) {
-        domains.push_back(domain);
+/// Numbers of servers that are needed.
+struct requirement {
+    double normal = 0.0;
+    /// While the reclaimable servers of one failure domain are lost, of two, and so on.
+    std::array<double, max_utilisation_after_loss.size()> after_loss{};
+    double reliable = 0.0;
+    /// Failure domains that are lost now.
+    std::size_t lost_domains = 0;
+};
+
+requirement servers_for(const service_load& load) {
+    requirement needed;
+    const double room = std::max(load.occupied, load.memory);
+    needed.normal = std::max({load.busy + staffing_factor * std::sqrt(load.busy),
+                              load.occupied / usable_places, load.memory / usable_memory});
+    for (std::size_t i = 0; i < needed.after_loss.size(); ++i) {
+        needed.after_loss[i] = std::max(load.busy, room) / max_utilisation_after_loss[i];
     }
-    std::stable_sort(domains.begin(), domains.end(), [&limits](const auto& a, const auto& b) {
-        return limits.prices.at(a) < limits.prices.at(b);
-    });
-    return domains;
+    needed.reliable = load.busy / max_utilisation_all_lost;
+    return needed;
 }
 
+/// A failure domain's price, how many reclaimable servers it can be relied on to have, and how many
+/// servers of each kind are planned there.
+struct domain_plan {
+    failure_domain_id domain;
+    double price = 1.0;
+    unsigned max_reclaimable = 0;
+    unsigned reliable = 0;
+    unsigned reclaimable = 0;
+};
+
+using domain_plans = std::vector<domain_plan>;
+
 unsigned round_up(double servers) {
     return static_cast<unsigned>(std::ceil(std::max(0.0, servers)));
 }
 
-/// Servers of both kinds in a domain.
-unsigned count_in_domain(const server_counts& counts, const failure_domain_id& domain) {
-    unsigned sum = 0;
-    for (const bool reclaimable : {false, true}) {
-        const auto found = counts.find({domain, reclaimable});
-        sum += found == counts.end() ? 0 : found->second;
+unsigned count_of(const server_counts& counts, const server_group& group) {
+    const auto found = counts.find(group);
+    return found == counts.end() ? 0 : found->second;
+}
+
+/// Adds up to `count` servers, round-robin over the domains, while `has_room`.
+void spread(domain_plans& domains, unsigned domain_plan::*kind, unsigned count,
+            const std::function<bool(const domain_plan&)>& has_room) {
+    bool added = true;
+    while (count > 0 && added) {
+        added = false;
+        for (domain_plan& domain : domains) {
+            if (count > 0 && has_room(domain)) {
+                ++(domain.*kind);
+                --count;
+                added = true;
+            }
+        }
     }
-    return sum;
 }
 
-/// Every group that the limits allow, with a count of 0.
-server_counts empty_counts(const scaling_limits& limits,
-                           const std::vector<failure_domain_id>& domains) {
-    server_counts counts;
-    for (const failure_domain_id& domain : domains) {
-        counts[{domain, false}] = 0;
-        if (limits.reclaimable_price) {
-            counts[{domain, true}] = 0;
+void place(domain_plans& domains, unsigned reliable, unsigned reclaimable, unsigned max) {
+    for (domain_plan& domain : domains) {
+        domain.reliable = 0;
+        domain.reclaimable = 0;
+    }
+    spread(domains, &domain_plan::reliable, reliable,
+           [max](const domain_plan& domain) { return domain.reliable < max; });
+    spread(domains, &domain_plan::reclaimable, reclaimable, [max](const domain_plan& domain) {
+        return domain.reclaimable < domain.max_reclaimable &&
+               domain.reliable + domain.reclaimable < max;
+    });
+}
+
+bool satisfies(const domain_plans& domains, const requirement& needed) {
+    unsigned remaining = 0;
+    unsigned reliable = 0;
+    std::vector<unsigned> reclaimable;
+    for (const domain_plan& domain : domains) {
+        remaining += domain.reliable + domain.reclaimable;
+        reliable += domain.reliable;
+        reclaimable.push_back(domain.reclaimable);
+    }
+    if (remaining < needed.normal || reliable < needed.reliable) {
+        return false;
+    }
+    std::sort(reclaimable.begin(), reclaimable.end(), std::greater<>());
+    for (std::size_t i = 0; i < reclaimable.size(); ++i) {
+        const std::size_t losses = needed.lost_domains + i;
+        if (losses >= needed.after_loss.size()) {
+            break;
+        }
+        remaining -= reclaimable[i];
+        if (remaining < needed.after_loss[losses]) {
+            return false;
         }
     }
-    return counts;
+    return true;
 }
 
-unsigned count_reliable(const server_counts& counts) {
-    unsigned sum = 0;
-    for (const auto& [group, count] : counts) {
-        sum += group.reclaimable ? 0 : count;
+double cost_of(const domain_plans& domains, double reclaimable_price) {
+    double cost = 0.0;
+    for (const domain_plan& domain : domains) {
+        cost += domain.price * (domain.reliable + reclaimable_price * domain.reclaimable);
     }
-    return sum;
+    return cost;
 }
 
-/// Adds `count` servers of one kind, round-robin over the domains, as far as the limits allow.
-void spread(server_counts& counts, const scaling_limits& limits,
-            const std::vector<failure_domain_id>& domains, bool reclaimable, unsigned count) {
-    bool added = true;
-    while (count > 0 && added) {
-        added = false;
-        for (const failure_domain_id& domain : domains) {
-            if (count > 0 && count_in_domain(counts, domain) < limits.max) {
-                ++counts[{domain, reclaimable}];
-                --count;
-                added = true;
+/// Plans the fewest reclaimable servers that satisfy `needed` beside `reliable` others; returns
+/// whether any number does.
+bool plan_reclaimable(domain_plans& domains, unsigned reliable, unsigned max,
+                      const requirement& needed) {
+    unsigned limit = 0;
+    for (const domain_plan& domain : domains) {
+        limit += domain.max_reclaimable;
+    }
+    unsigned low = 0;
+    unsigned high = limit;
+    while (low < high) {
+        const unsigned middle = (low + high) / 2;
+        place(domains, reliable, middle, max);
+        if (satisfies(domains, needed)) {
+            high = middle;
+        } else {
+            low = middle + 1;
+        }
+    }
+    place(domains, reliable, low, max);
+    return satisfies(domains, needed);
+}
+
+/// The cheapest servers that satisfy `needed`, or as many as the limits allow.
+domain_plans cheapest_fleet(domain_plans domains, const scaling_limits& limits,
+                            const requirement& needed) {
+    const unsigned most = round_up(needed.normal);
+    plan_reclaimable(domains, most, limits.max, needed);
+    domain_plans best = domains;
+    double lowest = cost_of(best, limits.reclaimable_price.value_or(1.0));
+    for (unsigned reliable = 0; reliable < most; ++reliable) {
+        if (plan_reclaimable(domains, reliable, limits.max, needed)) {
+            const double cost = cost_of(domains, limits.reclaimable_price.value_or(1.0));
+            if (cost < lowest) {
+                lowest = cost;
+                best = domains;
             }
         }
     }
+    return best;
+}
+
+/// Raises the counts so that `needed` of the reliable servers that are present stay.
+void keep_reliable(server_counts& counts, const server_counts& present, unsigned needed) {
+    unsigned kept = 0;
+    for (const auto& [group, count] : counts) {
+        kept += group.reclaimable ? 0 : std::min(count, count_of(present, group));
+    }
+    for (auto& [group, count] : counts) {
+        const unsigned current = count_of(present, group);
+        if (group.reclaimable || current <= count || kept >= needed) {
+            continue;
+        }
+        const unsigned added = std::min(current - count, needed - kept);
+        count += added;
+        kept += added;
+    }
+}
+
+domain_plans by_price(const scaling_limits& limits) {
+    domain_plans domains;
+    for (const auto& [domain, price] : limits.prices) {
+        domains.push_back({domain, price, limits.reclaimable_price ? limits.max : 0, 0, 0});
+    }
+    std::stable_sort(domains.begin(), domains.end(),
+                     [](const auto& a, const auto& b) { return a.price < b.price; });
+    return domains;
 }
 
 } // namespace
 
-double scaling_planner::peak(double busy, time_point now) {
-    const std::chrono::duration<double> age = now - peak_at_;
-    const double faded =
-        has_peak_ ? peak_ * std::exp(-std::max(0.0, age.count()) / peak_decay_s) : 0.0;
-    peak_ = std::max(busy, faded);
-    peak_at_ = now;
-    has_peak_ = true;
-    return peak_;
+unsigned scaling_planner::delayed_fall::update(unsigned wanted, time_point now) {
+    if (wanted >= value || now - confirmed >= scale_down_delay) {
+        value = wanted;
+        confirmed = now;
+    }
+    return value;
 }
 
-void scaling_planner::observe(const server_counts& present, time_point now) {
+void scaling_planner::observe(const scaling_limits& limits, const server_counts& present,
+                              time_point now) {
     for (auto& [group, state] : groups_) {
-        const auto found = present.find(group);
-        const unsigned current = found == present.end() ? 0 : found->second;
-        if (group.reclaimable && current < state.present && current < state.ordered) {
-            state.failed = now;
+        const unsigned current = count_of(present, group);
+        const bool is_overdue = now - state.ordered_at >= limits.boot_time + order_slack;
+        if (current >= state.ordered) {
+            state.is_short = false;
+        } else if (current < state.present || is_overdue) {
+            state.is_short = true;
         }
         state.present = current;
     }
 }
 
-unsigned scaling_planner::available(const scaling_limits& limits, time_point now) const {
-    unsigned sum = 0;
-    for (const auto& [group, state] : groups_) {
-        if (!group.reclaimable) {
-            continue;
-        }
-        const bool is_cooling_down = state.failed && now - *state.failed < loss_cooldown;
-        const bool may_be_booting = now - state.increased < limits.boot_time + order_slack;
-        sum += may_be_booting && !is_cooling_down ? state.ordered
-                                                  : std::min(state.present, state.ordered);
-    }
-    return sum;
+bool scaling_planner::is_short(const server_group& group) const {
+    const auto found = groups_.find(group);
+    return found != groups_.end() && found->second.is_short;
 }
 
-unsigned scaling_planner::hold(unsigned wanted, time_point now) {
-    if (wanted >= held_ || now - held_at_ >= scale_down_delay) {
-        held_ = wanted;
-        held_at_ = now;
-    }
-    return held_;
+void scaling_planner::on_order_accepted(const server_group& group, time_point now) {
+    group_state& state = groups_[group];
+    state.is_short = false;
+    state.ordered_at = now;
+}
+
+void scaling_planner::on_order_refused(const server_group& group) {
+    groups_[group].is_short = true;
 }
 
 void scaling_planner::note_orders(const server_counts& counts, const server_counts& present,
@@ -143,48 +255,83 @@
         const auto [known, is_new] = groups_.try_emplace(group);
         group_state& state = known->second;
         if (is_new) {
-            const auto current = present.find(group);
-            state.present = current == present.end() ? 0 : current->second;
+            state.present = count_of(present, group);
         }
         if (count > state.ordered) {
-            state.increased = now;
+            state.ordered_at = now;
         }
         state.ordered = count;
     }
 }
 
-server_counts scaling_planner::plan(const scaling_limits& limits, double busy,
+server_counts scaling_planner::delay_falls(const server_counts& wanted,
+                                           const server_counts& present,
+                                           const scaling_limits& limits, time_point now) {
+    server_counts counts = wanted;
+    for (auto& [group, count] : counts) {
+        const auto [delayed, is_new] = delayed_.try_emplace(group);
+        if (is_new && group.reclaimable) {
+            // Another holder of the duties may have just ordered these.
+            delayed->second = {count_of(present, group), now};
+        }
+        count = delayed->second.update(count, now);
+    }
+    // Reliable servers have precedence within the limit of the two kinds together.
+    for (auto& [group, count] : counts) {
+        if (group.reclaimable) {
+            const unsigned reliable = counts.at({group.failure_domain, false});
+            count = std::min(count, limits.max - std::min(limits.max, reliable));
+        }
+    }
+    return counts;
+}
+
+server_counts scaling_planner::plan(const scaling_limits& limits, const service_load& load,
                                     const server_counts& present, time_point now) {
-    observe(present, now);
-    if (!demand_since_ && busy >= min_demand) {
+    observe(limits, present, now);
+    if (!demand_since_ && load.busy >= min_demand) {
         // A planner whose first plan already sees demand has taken over from another holder of
         // the duties: the demand counts as measured.
-        demand_since_ = has_peak_ ? now : now - demand_learning_time;
-    }
-    const double needed = peak(busy, now) / target_utilisation + spare_servers;
-    const std::vector<failure_domain_id> domains = by_price(limits);
-    server_counts counts = empty_counts(limits, domains);
-    double reliable = needed;
-    if (limits.reclaimable_price) {
-        server_counts reclaimable = counts;
-        spread(reclaimable, limits, domains, true, round_up(needed * reclaimable_factor));
-        note_orders(reclaimable, present, now);
-        reliable = std::max(needed * min_reliable_fraction,
-                            needed - static_cast<double>(available(limits, now)));
-    }
-    unsigned count = hold(round_up(reliable), now);
-    if (!demand_since_ || now - *demand_since_ < demand_learning_time) {
-        count = std::max(count, count_reliable(present));
+        demand_since_ = has_planned_ ? now : now - demand_learning_time;
+    }
+    has_planned_ = true;
+    requirement needed = servers_for(forecast_.update(load, limits.boot_time, now));
+    domain_plans domains = by_price(limits);
+    // Groups that are short are ordered as if they were not, but not relied on.
+    const domain_plans ideal = cheapest_fleet(domains, limits, needed);
+    for (domain_plan& domain : domains) {
+        const server_group group{domain.domain, true};
+        if (is_short(group)) {
+            domain.max_reclaimable = std::min(domain.max_reclaimable, count_of(present, group));
+            ++needed.lost_domains;
+        }
     }
-    spread(counts, limits, domains, false, count);
-    if (limits.reclaimable_price) {
-        spread(counts, limits, domains, true, round_up(needed * reclaimable_factor));
+    const domain_plans actual = cheapest_fleet(domains, limits, needed);
+    server_counts counts;
+    for (std::size_t i = 0; i < domains.size(); ++i) {
+        const server_group reliable{actual[i].domain, false};
+        const server_group reclaimable{actual[i].domain, true};
+        counts[reliable] = actual[i].reliable;
+        if (!limits.reclaimable_price) {
+            counts[reliable] = std::max(counts[reliable], limits.min);
+            continue;
+        }
+        counts[reclaimable] = is_short(reclaimable)
+                                  ? std::max(ideal[i].reclaimable, actual[i].reclaimable)
+                                  : actual[i].reclaimable;
+        const unsigned sum = counts[reliable] + counts[reclaimable];
+        counts[reclaimable] += limits.min - std::min(limits.min, sum);
     }
-    for (const failure_domain_id& domain : domains) {
-        const unsigned current = count_in_domain(counts, domain);
-        if (current < limits.min) {
-            counts[{domain, limits.reclaimable_price.has_value()}] += limits.min - current;
+    counts = delay_falls(counts, present, limits, now);
+    if (!demand_since_ || now - *demand_since_ < demand_learning_time) {
+        keep_reliable(counts, present, std::numeric_limits<unsigned>::max());
+    } else {
+        unsigned reclaimable = 0;
+        for (const auto& [group, count] : present) {
+            reclaimable += group.reclaimable ? count : 0;
         }
+        const unsigned total = round_up(needed.normal);
+        keep_reliable(counts, present, total - std::min(total, reclaimable));
     }
     note_orders(counts, present, now);
     return counts;
