--- a/tests/serving/scaling_planner_test.cc
+++ b/tests/serving/scaling_planner_test.cc
@@ -1,3 +1,5 @@
+#include "model/server_market.h"
+
 #include "jujubetide/serving/scaling_planner.h"
 
 #include <catch2/catch.hpp>
@@ -216,52 +218,6 @@
 
 namespace {
 
-/// Servers that boot for a while, and reclaimable ones that are taken away a domain at a time.
-class server_market {
-public:
-    explicit server_market(const scaling_limits& limits) : limits_(limits) {}
-
-    void order(const server_counts& counts, time_point now) {
-        for (const auto& [group, count] : counts) {
-            auto& servers = ready_at_[group];
-            if (servers.size() > count) {
-                servers.resize(count);
-            }
-            while (servers.size() < count && !(group.reclaimable && now < dry_until_)) {
-                servers.push_back(now + limits_.boot_time);
-            }
-        }
-    }
-    void reclaim(const failure_domain_id& domain, time_point dry_until) {
-        ready_at_[{domain, true}].clear();
-        dry_until_ = dry_until;
-    }
-    [[nodiscard]] bool is_dry(time_point now) const { return now < dry_until_; }
-    [[nodiscard]] server_counts present(time_point now) const {
-        server_counts counts;
-        for (const auto& [group, servers] : ready_at_) {
-            counts[group] = static_cast<unsigned>(std::count_if(
-                servers.begin(), servers.end(), [now](time_point ready) { return ready <= now; }));
-        }
-        return counts;
-    }
-    /// The price of a second.
-    [[nodiscard]] double price() const {
-        double sum = 0.0;
-        for (const auto& [group, servers] : ready_at_) {
-            sum += limits_.prices.at(group.failure_domain) *
-                   (group.reclaimable ? *limits_.reclaimable_price : 1.0) *
-                   static_cast<double>(servers.size());
-        }
-        return sum;
-    }
-
-private:
-    scaling_limits limits_;
-    std::map<server_group, std::vector<time_point>> ready_at_;
-    time_point dry_until_{};
-};
-
 struct market_outcome {
     /// Seconds in which the servers that were present could not keep up with the calls.
     int overloaded = 0;
@@ -275,7 +231,7 @@
     scaling_limits limits = limits_with(0.2);
     limits.max = 20;
     scaling_planner planner;
-    server_market market(limits);
+    model::server_market market(limits);
     market_outcome outcome;
     const auto at = [](int second) { return start + std::chrono::seconds(second); };
     for (int second = 0; second < 120; ++second) {
@@ -293,17 +249,14 @@
         } else {
             wanted = planner.plan(limits, {busy}, present, at(second));
         }
-        market.order(wanted, at(second));
         for (const auto& [group, count] : wanted) {
-            if (planner.is_short(group)) {
-                if (group.reclaimable && market.is_dry(at(second))) {
-                    planner.on_order_refused(group);
-                } else {
-                    planner.on_order_accepted(group, at(second));
-                }
+            if (!market.order(group, count, at(second))) {
+                planner.on_order_refused(group);
+            } else if (planner.is_short(group)) {
+                planner.on_order_accepted(group, at(second));
             }
         }
-        outcome.cost += market.price();
+        outcome.cost += market.price_per_second();
         constexpr int boot_s = 5;
         outcome.overloaded += second >= boot_s && total(present) < busy ? 1 : 0;
     }
