Keep orders within a domain's limit while reliable servers stay

Seen in a reading: reliable servers that stay until others serve were added after the orders had been cut to a domain's limit, so both kinds together could exceed it, and the platform refuses such an order. The cut is now the last step. A node that loses the duties also drops its planners, whose view of the groups would be old when it gets the duties back (read, no test).

--- a/include/jujubetide/serving/scaling_planner.h
+++ b/include/jujubetide/serving/scaling_planner.h
@@ -58,8 +58,7 @@
     void note_orders(const server_counts& numbers, const server_counts& present, time_point now);
     /// Applies the delays to what is wanted.
     [[nodiscard]] server_counts delay_falls(const server_counts& wanted,
-                                            const server_counts& present,
-                                            const scaling_limits& limits, time_point now);
+                                            const server_counts& present, time_point now);
 
     demand_forecast forecast_;
     std::optional<time_point> demand_since_;
--- a/src/node/server_scaler.cc
+++ b/src/node/server_scaler.cc
@@ -29,6 +29,7 @@
     if (!lease_.is_held()) {
         lease_held_since_.reset();
         orders_.clear();
+        planners_.clear();
         return;
     }
     if (!lease_held_since_) {
--- a/src/serving/scaling_planner.cc
+++ b/src/serving/scaling_planner.cc
@@ -265,8 +265,7 @@
 }
 
 server_counts scaling_planner::delay_falls(const server_counts& wanted,
-                                           const server_counts& present,
-                                           const scaling_limits& limits, time_point now) {
+                                           const server_counts& present, time_point now) {
     server_counts counts = wanted;
     for (auto& [group, count] : counts) {
         const auto [delayed, is_new] = delayed_.try_emplace(group);
@@ -276,13 +275,6 @@
         }
         count = delayed->second.update(count, now);
     }
-    // Reliable servers have precedence within the limit of the two kinds together.
-    for (auto& [group, count] : counts) {
-        if (group.reclaimable) {
-            const unsigned reliable = counts.at({group.failure_domain, false});
-            count = std::min(count, limits.max - std::min(limits.max, reliable));
-        }
-    }
     return counts;
 }
 
@@ -322,7 +314,7 @@
         const unsigned sum = counts[reliable] + counts[reclaimable];
         counts[reclaimable] += limits.min - std::min(limits.min, sum);
     }
-    counts = delay_falls(counts, present, limits, now);
+    counts = delay_falls(counts, present, now);
     if (!demand_since_ || now - *demand_since_ < demand_learning_time) {
         keep_reliable(counts, present, std::numeric_limits<unsigned>::max());
     } else {
@@ -333,6 +325,13 @@
         const unsigned total = round_up(needed.normal);
         keep_reliable(counts, present, total - std::min(total, reclaimable));
     }
+    // Reliable servers have precedence within the limit of the two kinds together.
+    for (auto& [group, count] : counts) {
+        if (group.reclaimable) {
+            const unsigned reliable = counts.at({group.failure_domain, false});
+            count = std::min(count, limits.max - std::min(limits.max, reliable));
+        }
+    }
     note_orders(counts, present, now);
     return counts;
 }
--- a/tests/serving/scaling_planner_test.cc
+++ b/tests/serving/scaling_planner_test.cc
@@ -63,6 +63,22 @@
     }
 }
 
+TEST_CASE("orders stay within the limits while reliable servers are kept") {
+    const scaling_limits limits = limits_with(0.2);
+    scaling_planner planner;
+    server_counts present;
+    for (const auto& [domain, unused] : limits.prices) {
+        present[{domain, false}] = 5;
+    }
+    for (int second = 0; second < 20; ++second) {
+        const server_counts plan = planner.plan(limits, {second == 0 ? 0.0 : 8.0}, present,
+                                                start + std::chrono::seconds(second));
+        for (const auto& [domain, unused] : limits.prices) {
+            CHECK(plan.at({domain, false}) + plan.at({domain, true}) <= limits.max);
+        }
+    }
+}
+
 TEST_CASE("enough servers remain after the loss of one failure domain's reclaimable servers") {
     const scaling_limits limits = limits_with(0.2);
     scaling_planner planner;
