Prepare for the loss of the next failure domain however many are lost

Cause: domains that are lost count among the three losses that are planned for, so with two or three lost no further loss was prepared for. Change: one more loss always is. The new test failed before (5 reliable servers where the load needs 8), and passes now.

--- a/src/serving/scaling_planner.cc
+++ b/src/serving/scaling_planner.cc
@@ -127,12 +127,14 @@
     }
     std::sort(reclaimable.begin(), reclaimable.end(), std::greater<>());
     for (std::size_t i = 0; i < reclaimable.size(); ++i) {
+        // However many are lost, another may be lost before replacements have booted.
+        const std::size_t most_losses = needed.after_loss.size() - 1;
         const std::size_t losses = needed.lost_domains + i;
-        if (losses >= needed.after_loss.size()) {
+        if (losses > most_losses && i > 0) {
             break;
         }
         remaining -= reclaimable[i];
-        if (remaining < needed.after_loss[losses]) {
+        if (remaining < needed.after_loss[std::min(losses, most_losses)]) {
             return false;
         }
     }
--- a/tests/serving/scaling_planner_test.cc
+++ b/tests/serving/scaling_planner_test.cc
@@ -181,6 +181,23 @@
     CHECK(reliable_of(plan) >= 3);
 }
 
+TEST_CASE("while three failure domains are lost, the loss of the fourth is prepared for") {
+    scaling_limits limits = limits_with(0.2);
+    limits.max = 40;
+    scaling_planner planner;
+    constexpr double busy = 8.0;
+    server_counts present;
+    for (int second = 0; second < 30; ++second) {
+        present = planner.plan(limits, {busy}, present, start + std::chrono::seconds(second));
+    }
+    for (const char* domain : {"a", "b", "c"}) {
+        present[{failure_domain_id(domain), true}] = 0;
+        planner.on_order_refused({failure_domain_id(domain), true});
+    }
+    const server_counts plan = planner.plan(limits, {busy}, present, start + micros{29'100'000});
+    CHECK(reliable_of(plan) >= busy);
+}
+
 TEST_CASE("a group that lost servers is short until its order is accepted again") {
     const scaling_limits limits = limits_with(0.2);
     scaling_planner planner;
