--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -19,6 +19,8 @@
         self.born = int(time.time() * 1000)
         self.server = None
         self.heartbeat = None
+        self.state = "ready"
+        self.running = set()
 
     async def start(self):
         self.server = await http_server.Server.listen(self.address, self.serve, streams=True)
@@ -35,14 +37,26 @@
         self.sequence += 1
         self.store.put_json("servers", self.name, {
             "service": self.service, "address": self.address, "zone": self.zone,
-            "version": "v1", "slots": self.slots, "state": "ready", "coldRemainingMs": 0,
+            "version": "v1", "slots": self.slots, "state": self.state, "coldRemainingMs": 0,
             "sequence": self.sequence, "born": self.born})
 
+    async def leave(self, serve_s):
+        """A planned shutdown: reports `draining`, serves on for `serve_s`, and exits."""
+        self.state = "draining"
+        self.register()
+        self.record.write("draining", engine=self.name)
+        await asyncio.sleep(serve_s)
+        self.heartbeat.cancel()
+        self.record.write("exits", engine=self.name)
+        await self.server.close()
+        self.store.remove("servers", self.name)
+
     def is_misdirected(self, request):
         return request.headers.get("x-expect-instance", self.name) != self.name
 
     def answer_fields(self, request):
-        return [("X-Attempt-Id", request.headers.get("x-attempt-id", "")),
+        leaving = [("Server-Leaving", "1")] if self.state == "draining" else []
+        return leaving + [("X-Attempt-Id", request.headers.get("x-attempt-id", "")),
                 ("X-Upstream-Signature", "sig.%s.%s" % (
                     self.name, request.headers.get("x-attempt-id", "")))]
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -23,6 +23,10 @@
         self.server = None
         self.address = None
         self.down = False
+        self.silent = False
+        self.dropped = 0  # The history up to this version is gone.
+        self.behind_s = 0.0
+        self.cut = asyncio.Event()
         self.rewriters = []  # The operator and the engines, who write again after a restore.
 
     async def start(self, address):
@@ -53,6 +57,10 @@
         self.apply([((table, "", key), value)], [])
         return True
 
+    def remove(self, table, key):
+        if not self.down:
+            self.apply([], [(table, "", key)])
+
     async def restore(self, copy_time, away_s):
         """Away for `away_s`, then back with its state as of `copy_time`."""
         self.down = True
@@ -61,13 +69,7 @@
         self.wake()
         await asyncio.sleep(away_s)
         self.log = [entry for entry in self.log if entry[0] <= copy_time]
-        self.rows, self.version = {}, 0
-        for _, version, key, value in self.log:
-            self.version = version
-            if value is None:
-                self.rows.pop(key, None)
-            else:
-                self.rows[key] = (value, version)
+        self.rows, self.version = self.state_at(copy_time)
         self.era += 1
         self.down = False
         self.server = await http_server.Server.listen(self.address, self.handle)
@@ -76,6 +78,35 @@
         for rewrite in self.rewriters:
             rewrite()
 
+    async def compact(self, silent_s, behind_s, stale_s):
+        """Feeds hear nothing for `silent_s`; then the history is dropped and the feeds are cut, and
+        for `stale_s` reads are `behind_s` behind."""
+        self.record.write("store_feeds_silent")
+        self.silent = True
+        await asyncio.sleep(silent_s)
+        self.silent = False
+        self.dropped = self.version
+        self.behind_s = behind_s
+        self.record.write("store_history_dropped", version=self.dropped)
+        cut, self.cut = self.cut, asyncio.Event()
+        cut.set()
+        self.wake()
+        await asyncio.sleep(stale_s)
+        self.behind_s = 0.0
+        self.record.write("store_reads_fresh")
+
+    def state_at(self, at):
+        rows, newest = {}, 0
+        for when, version, key, value in self.log:
+            if when > at:
+                break
+            newest = version
+            if value is None:
+                rows.pop(key, None)
+            else:
+                rows[key] = (value, version)
+        return rows, newest
+
     def answer(self, status, body):
         body = dict(body, nowMs=int(time.monotonic() * 1000))
         body.setdefault("ver", self.version)
@@ -96,27 +127,35 @@
             return self.transact(json.loads(request.body))
         return self.answer(404, {})
 
-    def row(self, key):
-        value, version = self.rows.get(key, (None, 0))
+    @staticmethod
+    def row_of(rows, key):
+        value, version = rows.get(key, (None, 0))
         body = {"table": key[0], "part": key[1], "key": key[2], "ver": version}
         return body if value is None else dict(body, value=value)
 
     def get(self, query):
         limit = min(500, int(query.get("limit", 500)))
-        keys = sorted(key for key in self.rows
+        rows, version = self.rows, self.version
+        if self.behind_s:
+            rows, version = self.state_at(time.monotonic() - self.behind_s)
+        keys = sorted(key for key in rows
                       if key[:2] == (query["table"], query.get("part", ""))
                       and key[2] >= query.get("from", "")
                       and ("to" not in query or key[2] < query["to"]))
-        return self.answer(200, {"rows": [self.row(key) for key in keys[:limit]],
-                                 "morePages": len(keys) > limit})
+        return self.answer(200, {"rows": [self.row_of(rows, key) for key in keys[:limit]],
+                                 "morePages": len(keys) > limit, "ver": version})
 
     async def feed(self, query):
         after = int(query["after"])
         end = time.monotonic() + min(30000, int(query.get("waitMs", 0))) / 1000
-        while not self.down:
+        cut = self.cut
+        while not self.down and not cut.is_set():
+            if self.silent:
+                await asyncio.sleep(0.02)
+                continue
             oldest = time.monotonic() - HISTORY_S
             dropped = max((entry[1] for entry in self.log if entry[0] < oldest), default=0)
-            if after > self.version or after < dropped:
+            if after > self.version or after < max(dropped, self.dropped):
                 return self.answer(410, {})
             latest = {}
             for _, version, key, value in self.log:
@@ -147,7 +186,7 @@
             return self.answer(403, {})
         expected = [(key_of(row), row["ver"]) for row in body.get("expect", [])]
         if any(self.rows.get(key, (None, 0))[1] != version for key, version in expected):
-            return self.answer(412, {"rows": [self.row(key) for key, _ in expected]})
+            return self.answer(412, {"rows": [self.row_of(self.rows, key) for key, _ in expected]})
         version = self.apply(puts, removals)
         for key, value in puts:
             self.record.write("store_write", table=key[0], key=key[2], ver=version,
