--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,9 +1,9 @@
-"""TWICE: a stream goes on at a second engine while the first still works on it."""
+"""LOST: around a planned stop, streams are cut because their engine is silent for a while."""
 import asyncio
 import os
 import pathlib
+import signal
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
 import consumer
@@ -12,10 +12,10 @@
 from store import Store
 from stream_engine import StreamEngine
 
-STREAMS = 3
+NODES = 7
+STREAMS = 21
 EVENTS = 20
 PREEMPTED_S = 2.4
-OVERLAP_S = 0.4
 
 
 def configuration():
@@ -35,67 +35,41 @@
                      "unit": "token_count", "plainTokens": 200, "ratePerS": 0, "burst": 0}]}
 
 
-class Watched(StreamEngine):
-    """Keeps the time of each event that it has made for an attempt."""
-
-    def __init__(self, *args, events_made, **options):
-        super().__init__(*args, **options)
-        self.events_made = events_made
-
-    def made(self, attempt, number):
-        self.events_made.append((time.monotonic(), attempt, self.name, number))
-        self.record.write("event_made", engine=self.name, attempt=attempt, event_id=number)
-
-
 async def play(record, trouble):
-    deployment = Deployment(record, node_count=2, engine_count=2)
+    deployment = Deployment(record, node_count=NODES, engine_count=3)
     try:
         store, cloud = Store(record), Cloud(record)
         await store.start(deployment.store_address)
         await cloud.start(deployment.cloud_address)
         store.put_json("op", "config", configuration())
-        events_made = []
-        preempted = set()
-
-        def preempts(request):
-            # Once for each attempt: at the engine that has begun it.
-            attempt = request.headers["x-attempt-id"]
-            return "last-event-id" not in request.headers and not (
-                attempt in preempted or preempted.add(attempt))
-
-        for i in range(2):
-            await Watched(store, record, "i-pool-%d" % i, "pool", deployment.engine_address(i),
-                          "zone-a" if i == 0 else "zone-b", events=EVENTS,
-                          preempted_s=PREEMPTED_S if trouble else 0.0, is_preempted=preempts,
-                          drops=False, events_made=events_made).start()
+        for i in range(3):
+            await StreamEngine(store, record, "i-pool-%d" % i, "pool",
+                               deployment.engine_address(i), "zone-a" if i % 2 == 0 else "zone-b",
+                               events=EVENTS,
+                               preempted_s=PREEMPTED_S if trouble and i == 0 else 0.0).start()
         await deployment.start_nodes()
         await asyncio.sleep(5.0)  # More than contactMs after the start of the machines.
 
-        await asyncio.gather(*[consumer.send(
-            record, deployment.nodes[number % 2], "assistant.example", "/plan/%d" % number,
-            "attempt-%d" % number, "key-1", 12000,
-            headers=[("X-Model", "m"), ("X-Token-Usage", "1460,60"),
-                     ("X-Prompt-Prefix", "%x:1460" % (number + 1))]) for number in range(STREAMS)])
-        await asyncio.sleep(PREEMPTED_S + 2.5)
-        return check(events_made)
+        node = deployment.nodes[0]
+
+        async def stream(number):
+            await asyncio.sleep(0.02 * number)
+            return await consumer.send(
+                record, node, "assistant.example", "/plan/%d" % number, "attempt-%d" % number,
+                "key-1", 12000, headers=[("X-Model", "m"), ("X-Token-Usage", "1460,60"),
+                                         ("X-Prompt-Prefix", "%x:1460" % (number + 1))])
+
+        streams = [asyncio.create_task(stream(number)) for number in range(STREAMS)]
+        await asyncio.sleep(0.02 * STREAMS + 0.6)
+        node.signal(signal.SIGTERM)
+        results = await asyncio.gather(*streams)
+        return ["the channel of attempt-%d ended without a complete answer after %d of %d events, "
+                "%.1f s after its request was sent" % (number, len(result.events), EVENTS,
+                                                       result.seconds)
+                for number, result in enumerate(results)
+                if result.status in (None, 200) and not result.is_complete]
     finally:
         deployment.close(os.environ.get("KEEP_LOGS"))
 
 
-def check(events_made):
-    breaches = []
-    for attempt in sorted({event[1] for event in events_made}):
-        events = [event for event in events_made if event[1] == attempt]
-        first_engine = events[0][2]
-        moved = [event for event in events if event[2] != first_engine]
-        late = [event for event in events if event[2] == first_engine and moved
-                and event[0] > moved[0][0] + OVERLAP_S]
-        if late:
-            breaches.append(
-                "%s goes on at %s from event %d, and %s still makes %d events of it, up to %.2f s "
-                "later" % (attempt, moved[0][2], moved[0][3], first_engine, len(late),
-                           late[-1][0] - moved[0][0]))
-    return breaches
-
-
 main(play, pathlib.Path(__file__).resolve().parent)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,10 +12,9 @@
 from engine import Engine
 from store import Store
 
-CALM_S = 16.0
+CALM_S = 15.2
 AWAY_S = 1.0
-COPY_AGE_S = 7.0
-CHANGE_AFTER_S = 1.0  # From the return of the store to the new configuration.
+COPY_AGE_S = 3.0
 CONFIG_APPLY_S = 2.0
 MAX_STRETCH_S = 5.0  # The store is not stable yet when the configuration is confirmed.
 WATCHED_S = 15.0
@@ -55,12 +54,13 @@
                          deployment.engine_address(i), "zone-a" if i % 2 == 0 else "zone-b").start()
         await deployment.start_nodes()
         await asyncio.sleep(CALM_S)
+        # The operator's next configuration; it is written as soon as the store takes it.
+        in_force[0] = configuration(9, "newdesk", ["key-1"])
         if trouble:
             await store.restore(time.monotonic() + AWAY_S - COPY_AGE_S, AWAY_S)
-        await asyncio.sleep(CHANGE_AFTER_S)
-
-        in_force[0] = configuration(9, "newdesk", ["key-1"])
-        write_config()
+        else:
+            await asyncio.sleep(AWAY_S)
+            write_config()
         confirmed = time.monotonic()
         record.write("config_confirmed", version=9)
         breaches, number = {}, 0
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -1,5 +1,6 @@
 """Stand-ins for engines: a plain one, and one that streams events."""
 import asyncio
+import random
 import time
 
 import http_server
@@ -29,6 +30,7 @@
         self.heartbeat = asyncio.create_task(self.beat())
 
     async def beat(self):
+        await asyncio.sleep(random.uniform(0.0, HEARTBEAT_S))
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             self.register()
