--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -253,7 +253,7 @@
         record.write("cannot_run", why=str(error))
         print("cannot run: %s" % error)
         raise SystemExit(2) from None
-    except (asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # An error of the script itself must not read as a broken rule.
         record.write("cannot_run", why=repr(error))
         print("cannot run: %r" % error)
         raise SystemExit(2) from None
