--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,26 +1,20 @@
-"""DRAIN: a machine goes on sending requests to an engine that has told it that it leaves."""
+"""ONE: after a restore of the store, a second machine sends a generation number that another
+machine has sent for the same duty and subject."""
 import asyncio
 import os
 import pathlib
-import random
+import signal
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
-import consumer
-from cloud import Cloud
-from deployment import Deployment, main
+from cloud import Cloud, subject
+from deployment import CannotRun, Deployment, main, wait_for
 from engine import Engine
 from store import Store
 
-SILENT_S = 1.0
-BEHIND_S = 5.5
-STALE_S = 11.0
-DRAIN_TIMEOUT_S = 2.0
-SERVED_AFTER_DRAINING_S = 3.0
-MIN_WORK_S, MAX_WORK_S = 0.3, 0.9
-BOOKING_PERIOD_S = 0.1
-ENGINES = 4
+AWAY_S = 1.0
+MAX_COPY_AGE_S = 9.0
 
 
 def configuration():
@@ -30,87 +24,72 @@
                     "kind": "non_idempotent", "timeoutMs": 2500, "targetLatencyMs": 150,
                     "priority": 2, "service": "desk", "maxAttempts": 1, "public": False}],
         "services": [{"name": "desk", "healthPath": "/healthz", "maxConnections": 100,
-                      "protocol": "h1", "tls": False}],
+                      "protocol": "h1", "tls": False,
+                      "scaling": {"minReplicas": 1, "maxReplicas": 1, "bootTimeS": 4.0,
+                                  "zonePrices": {"zone-a": 1.0, "zone-b": 1.0}}}],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                    "idleTimeoutMs": 15000},
         "tenants": [{"name": "tenant-1", "apiKeys": ["key-1"], "priority": 1, "ratePerS": 0,
                      "burst": 0}]}
 
 
-class Watched(Engine):
-    """Keeps when it was sent a request, and answers that it leaves once it does."""
-
-    def __init__(self, *args, runs, **options):
-        super().__init__(*args, **options)
-        self.runs = runs
-
-    async def serve(self, request, reader, writer):
-        if not self.is_misdirected(request):
-            self.runs.append((request.headers.get("x-attempt-id", ""), self.name))
-        return await super().serve(request, reader, writer)
+async def restart(node):
+    """One step of the rolling restart: SIGTERM, and a new process once the old one has ended."""
+    node.signal(signal.SIGTERM)
+    await node.stopped()
+    await asyncio.sleep(0.5)
+    node.start()
 
 
 async def play(record, trouble):
-    deployment = Deployment(record, node_count=3, engine_count=ENGINES)
+    deployment = Deployment(record, node_count=3, engine_count=2)
     try:
         store, cloud = Store(record), Cloud(record)
         await store.start(deployment.store_address)
         await cloud.start(deployment.cloud_address)
-        store.put_json("op", "config", configuration())
-        runs, engines = [], []
-        for i in range(ENGINES):
-            engine = Watched(store, record, "i-desk-%d" % i, "desk", deployment.engine_address(i),
-                             "zone-a" if i % 2 == 0 else "zone-b", runs=runs,
-                             work_s=lambda request: random.uniform(MIN_WORK_S, MAX_WORK_S))
-            engines.append(engine)
-            await engine.start()
-        await deployment.start_nodes()
-        await asyncio.sleep(6.0)
-
-        sent, told, results = {}, {}, {}
-        ends = time.monotonic() + 9.0
 
-        async def book(node, number):
-            attempt = "attempt-%d" % number
-            sent[attempt] = (time.monotonic(), node.name)
-            result = await consumer.send(record, node, "booking.example", "/book/%d" % number,
-                                         attempt, "key-1", 2500)
-            results[attempt] = result
-            if "server-leaving" in result.headers:
-                told.setdefault((node.name, result.headers["x-upstream-signature"].split(".")[1]),
-                                time.monotonic())
+        def write_config():
+            store.put_json("op", "config", configuration())
 
-        async def consumers(node, first):
-            tasks, number = [], first
-            await asyncio.sleep(BOOKING_PERIOD_S * random.random())
-            while time.monotonic() < ends:
-                number += len(deployment.nodes)
-                tasks.append(asyncio.create_task(book(node, number)))
-                await asyncio.sleep(BOOKING_PERIOD_S)
-            await asyncio.gather(*tasks)
-
-        traffic = asyncio.gather(*[consumers(node, i) for i, node in enumerate(deployment.nodes)])
-        await asyncio.sleep(0.5)
+        write_config()
+        store.rewriters.append(write_config)
+        for i in range(2):
+            await Engine(store, record, "i-desk-%d" % i, "desk", deployment.engine_address(i),
+                         "zone-a" if i == 0 else "zone-b").start()
+        await deployment.start_nodes()
+        by_name = {node.name: node for node in deployment.nodes}
+
+        await wait_for(lambda: cloud.calls, 25, "no machine took the duties")
+        first = cloud.calls[-1]["holder"]
+        copy_time = time.monotonic()
+        steps = [asyncio.create_task(restart(by_name[first]))]
+        await wait_for(lambda: cloud.calls[-1]["holder"] != first, 25,
+                       "no machine took the duties over")
+        second = cloud.calls[-1]["holder"]
         if trouble:
-            asyncio.create_task(store.compact(SILENT_S, BEHIND_S, STALE_S))
-        await asyncio.sleep(0.3)
-        await engines[0].leave(SERVED_AFTER_DRAINING_S)
-        await traffic
-        late = {}
-        for attempt, engine in runs:
-            at, node = sent[attempt]
-            since = told.get((node, engine))
-            if since is not None and at > since + DRAIN_TIMEOUT_S:
-                late.setdefault((node, engine), []).append(at - since)
-        lost = sorted(attempt for attempt, result in results.items() if result.status != 200)
-        record.write("bookings_lost", attempts=lost)
-        print("bookings that ran and got no answer of their engine: %d" % len(
-            set(lost) & {attempt for attempt, _ in runs}))
-        return ["%s sent %d requests to %s, up to %.1f s after it had passed on an answer with "
-                "Server-Leaving" % (node, len(times), engine, max(times))
-                for (node, engine), times in sorted(late.items())]
+            if time.monotonic() + AWAY_S - copy_time > MAX_COPY_AGE_S:
+                raise CannotRun("the hand-over took too long for a copy some seconds old")
+            await store.restore(copy_time, AWAY_S)
+        else:
+            await asyncio.sleep(AWAY_S)
+        await asyncio.gather(*steps)
+        steps = [asyncio.create_task(restart(by_name[second]))]
+        await wait_for(lambda: cloud.calls[-1]["holder"] != second, 30,
+                       "no machine took the duties over again")
+        await asyncio.gather(*steps)
+        await asyncio.sleep(5.0)
+        return check(cloud.calls)
     finally:
         deployment.close(os.environ.get("KEEP_LOGS"))
 
 
+def check(calls):
+    holders = {}
+    for call in calls:
+        holders.setdefault((subject(call), call["generation"]), set()).add(call["holder"])
+    return ["generation number %d of '%s' was sent by %s" % (generation, what,
+                                                             " and ".join(sorted(names)))
+            for (what, generation), names in sorted(holders.items()) if len(names) > 1]
+
+
 main(play, pathlib.Path(__file__).resolve().parent)
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -10,12 +10,14 @@
 
 class Engine:
     """Registers in the store and answers each request after its work. `work_s(request)` gives the
-    seconds of work of a plain request."""
+    seconds of work of a plain request; an answer has `body_bytes` bytes if that is given."""
 
-    def __init__(self, store, record, name, service, address, zone, slots=6, work_s=None):
+    def __init__(self, store, record, name, service, address, zone, slots=6, work_s=None,
+                 body_bytes=0):
         self.store, self.record, self.name, self.service = store, record, name, service
         self.address, self.zone, self.slots = address, zone, slots
         self.work_s = work_s or (lambda request: 0.03)
+        self.body_bytes = body_bytes
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.server = None
@@ -71,7 +73,7 @@
         self.record.write("run_begins", engine=self.name, attempt=attempt, target=request.target,
                           tenant=request.headers.get("x-tenant", ""))
         await asyncio.sleep(self.work_s(request))
-        body = ("answer to " + attempt).encode()
+        body = ("answer to " + attempt).encode().ljust(self.body_bytes, b".")
         fields = self.answer_fields(request) + [("Content-Length", str(len(body)))]
         writer.write(http_server.head(200, fields) + body)
         await writer.drain()
