DRAIN: a server that says that it leaves gets no further requests

Cause: a server says so in each of its answers, and nothing read it. Only the server's row made it unusable, which is late or stale while the store is away, and which some servers never write. A node that passes attempts on for a cut-off peer did not even look at the row's state. Change: the header is decoded in platform/; backend_list keeps the runs that said so and leaves them out for all that choose, probe or count servers, whatever a registration says, until a later run is registered. Peers are told by the heartbeat; their word holds for 10 s. Older builds ignore the added field of the heartbeat. Tests, failing before on: leaving_servers_test (five cases, one with node programs), "a peer passes no attempt on to a server that leaves".

--- a/include/jujubetide/node/call_codec.h
+++ b/include/jujubetide/node/call_codec.h
@@ -63,6 +63,10 @@
     std::optional<std::uint32_t> rejections_per_second;
     /// The server says that it is brittle, without a number of rejections.
     bool has_malformed_brittleness = false;
+    /// The server says that it leaves.
+    bool is_leaving = false;
+    /// What it says of its leaving makes no sense.
+    bool has_malformed_leaving = false;
 };
 
 /// Converts between HTTP headers of callers and backend servers and the node's fields.
--- a/include/jujubetide/serving/backend_list.h
+++ b/include/jujubetide/serving/backend_list.h
@@ -3,6 +3,7 @@
 #include "jujubetide/base/endpoint.h"
 #include "jujubetide/base/ids.h"
 #include "jujubetide/base/units.h"
+#include "jujubetide/serving/leaving_notices.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -21,18 +22,21 @@
     failure_domain_id failure_domain;
     version_id version;
     std::size_t slots = 1;
-    /// Accepts no new calls and stops soon.
+    /// As registered: accepts no new calls and stops soon.
     bool leaving = false;
     /// Time from its start until it runs at full speed.
     millis warm_up{0};
     bool reclaimable = false;
     /// Start time that the process reported, if any; detects a restart under the same id.
     std::int64_t started_at_ms = 0;
+
+    friend bool operator==(const backend_server&, const backend_server&) = default;
 };
 
 /// The registered backend servers. While the registry is unavailable, registrations of running
 /// servers lapse too: a server whose registration lapsed without an announced stop is used as a
-/// last resort until it has had time to register again. Not thread-safe.
+/// last resort until it has had time to register again. A server that says in its answers that it
+/// leaves gets no new calls either, whatever its registration says. Not thread-safe.
 class backend_list {
 public:
     /// How long a server with a lapsed registration may be used when there is no other.
@@ -42,11 +46,21 @@
     void remove(const backend_server_id& id, time_point now);
     /// Removes the servers that did not register again in time and returns their ids.
     std::vector<backend_server_id> expire(time_point now);
+    /// An answer of the server said that it leaves. Returns whether that was not known.
+    bool on_leaving_answer(const backend_server& server, time_point now);
+    /// Returns the servers that were not known to leave.
+    std::vector<backend_server_id> on_peer_leaving_reports(std::vector<leaving_report> reports,
+                                                           time_point now);
+    [[nodiscard]] const leaving_notices& notices() const { return notices_; }
 
     struct entry {
         backend_server server;
+        /// Said by the server in an answer.
+        bool has_leaving_notice = false;
         /// When the registration lapsed, if it has.
         std::optional<time_point> lapsed_at;
+
+        [[nodiscard]] bool is_leaving() const { return server.leaving || has_leaving_notice; }
     };
 
     /// Ids of the listed servers that are not in `servers`.
@@ -59,7 +73,12 @@
     [[nodiscard]] std::vector<const backend_server*> usable(const service_id& service) const;
 
 private:
+    void update_notice(const backend_server_id& id);
+    /// Whether the id is listed with a run that started later.
+    [[nodiscard]] bool has_later_run(const backend_server_id& id, std::int64_t started_at_ms) const;
+
     std::map<backend_server_id, entry> entries_;
+    leaving_notices notices_;
 };
 
 } // namespace jujubetide
--- a/src/node/call_forwarder.cc
+++ b/src/node/call_forwarder.cc
@@ -1,5 +1,6 @@
 #include "node/call_forwarder.h"
 
+#include "node/leaving_answers.h"
 #include "node/node_events.h"
 
 #include <utility>
@@ -23,18 +24,18 @@
                                              public call_events,
                                              public std::enable_shared_from_this<forwarded_call> {
 public:
-    forwarded_call(call_forwarder& owner, forward_order order,
+    forwarded_call(call_forwarder& owner, forward_order order, backend_server server,
                    std::shared_ptr<http1_exchange> exchange)
-        : owner_(owner), state_(owner.state_), order_(std::move(order)),
+        : owner_(owner), state_(owner.state_), order_(std::move(order)), server_(std::move(server)),
           exchange_(std::move(exchange)) {}
 
-    void begin(const endpoint& server, std::string request) {
+    void begin(std::string request) {
         owner_.running_.insert(shared_from_this());
         state_.links.on_attempt_begun();
         call_options options;
         options.connect_timeout = connect_timeout;
         options.max_idle = order_.max_idle;
-        call_ = state_.client.call(server, std::move(request), options, *this);
+        call_ = state_.client.call(server_.address, std::move(request), options, *this);
     }
 
     void break_off() { fail(forward_result::broken); }
@@ -48,10 +49,11 @@
     }
     [[nodiscard]] bool do_head(const response_head& head) override {
         state_.links.on_bytes();
-        const std::string attempt = state_.codec.read_response(head).attempt_id;
-        if (!attempt.empty() && attempt != order_.attempt_id) {
+        const response_fields fields = state_.codec.read_response(head);
+        if (!fields.attempt_id.empty() && fields.attempt_id != order_.attempt_id) {
             return false; // A late response to another call.
         }
+        apply_leaving_notice(state_, server_, fields);
         framing_ = head.framing;
         header_list headers = state_.codec.caller_headers(head);
         add_result(headers, forward_result::answered);
@@ -115,6 +117,7 @@
     call_forwarder& owner_;
     serving_state& state_;
     forward_order order_;
+    backend_server server_;
     std::shared_ptr<http1_exchange> exchange_;
     std::unique_ptr<http1_call> call_;
     body_framing framing_ = body_framing::none;
@@ -138,13 +141,15 @@
         return nullptr;
     }
     const backend_list::entry* server = state_.backends.find(order->server);
-    if (state_.refuses_calls || state_.links.are_lost() || server == nullptr) {
+    if (state_.refuses_calls || state_.links.are_lost() || server == nullptr ||
+        server->is_leaving()) {
         respond_without_answer(*exchange, forward_result::not_sent);
         return nullptr;
     }
     state_.metrics.on_forward();
-    auto call = std::make_shared<forwarded_call>(*this, *std::move(order), std::move(exchange));
-    call->begin(server->server.address, std::move(body));
+    auto call = std::make_shared<forwarded_call>(*this, *std::move(order), server->server,
+                                                 std::move(exchange));
+    call->begin(std::move(body));
     return call;
 }
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -307,6 +307,7 @@
     now.limited_servers = state.limits.limited_servers();
     now.brittle_servers = state.brittle.count();
     now.server_links_lost = state.links.are_lost();
+    now.leaving_servers = state.backends.notices().count();
     return state.metrics.text(now);
 }
 
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -1,5 +1,6 @@
 #include "node/peer_exchange.h"
 
+#include "node/leaving_answers.h"
 #include "node/node_events.h"
 #include "node/table_readers.h"
 
@@ -143,6 +144,7 @@
     heartbeat.suspicions = state_.crashes.suspicions();
     heartbeat.server_limits = state_.limits.reports(state_.time.now());
     heartbeat.reaches_servers = !state_.links.are_lost();
+    heartbeat.leaving_servers = state_.backends.notices().reports(state_.time.now());
     const std::string bytes = encode(heartbeat);
     for (const auto& [node, other] : peers_) {
         socket_->send(other.record.peers, bytes);
@@ -206,6 +208,7 @@
     }
     state_.crashes.on_peer_suspicions(heartbeat->suspicions);
     apply_server_limits(heartbeat->server_limits);
+    apply_leaving_reports(state_, heartbeat->leaving_servers);
     if (on_newer_table_ && has_newer_table(sender)) {
         on_newer_table_();
     }
--- a/src/node/peer_heartbeat.cc
+++ b/src/node/peer_heartbeat.cc
@@ -54,6 +54,18 @@
     return report;
 }
 
+json to_json(const leaving_report& report) {
+    return {report.server.str(), report.started_at_ms, to_millis(report.age).count()};
+}
+
+leaving_report to_leaving_report(const json& item) {
+    leaving_report report;
+    report.server = backend_server_id(item.at(0).get<std::string>());
+    report.started_at_ms = item.at(1).get<std::int64_t>();
+    report.age = millis(item.at(2).get<std::int64_t>());
+    return report;
+}
+
 } // namespace
 
 std::string encode(const peer_heartbeat& heartbeat) {
@@ -93,6 +105,10 @@
     for (const server_limit_report& report : heartbeat.server_limits) {
         limits.push_back(to_json(report));
     }
+    json leaving = json::array();
+    for (const leaving_report& report : heartbeat.leaving_servers) {
+        leaving.push_back(to_json(report));
+    }
     const json body = {heartbeat_format,
                        heartbeat.node.str(),
                        heartbeat.start.value(),
@@ -113,7 +129,8 @@
                        std::move(readings),
                        std::move(suspicions),
                        std::move(limits),
-                       heartbeat.reaches_servers};
+                       heartbeat.reaches_servers,
+                       std::move(leaving)};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -177,6 +194,11 @@
         if (index < body.size()) {
             heartbeat.reaches_servers = body.at(index++).get<bool>();
         }
+        if (index < body.size()) {
+            for (const json& item : body.at(index++)) {
+                heartbeat.leaving_servers.push_back(to_leaving_report(item));
+            }
+        }
         return heartbeat;
     } catch (const json::exception& error) {
         return absl::InvalidArgumentError(
--- a/src/node/peer_heartbeat.h
+++ b/src/node/peer_heartbeat.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jujubetide/base/ids.h"
+#include "jujubetide/serving/leaving_notices.h"
 #include "jujubetide/serving/load_tracker.h"
 #include "jujubetide/serving/prefix_cache_tracker.h"
 #include "jujubetide/serving/prompt_quarantine.h"
@@ -52,6 +53,8 @@
     std::vector<server_limit_report> server_limits;
     /// The node reaches the backend servers over connections of its own.
     bool reaches_servers = true;
+    /// Servers that said in answers to this node that they leave.
+    std::vector<leaving_report> leaving_servers;
 };
 
 std::string encode(const peer_heartbeat& heartbeat);
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -1,6 +1,7 @@
 #include "node/proxied_call.h"
 
 #include "node/forward_message.h"
+#include "node/leaving_answers.h"
 #include "node/node_events.h"
 
 #include <absl/strings/str_cat.h>
@@ -402,6 +403,7 @@
     has_response_head_ = true;
     read_server_limit();
     read_brittleness();
+    apply_leaving_notice(state_, server_, response_fields_);
     if (success &&
         (!is_for_this_call || !response_fields_.is_signed || response_fields_.is_encoded)) {
         on_attempt_failed(attempt_outcome::broken);
--- a/src/node/server_links.cc
+++ b/src/node/server_links.cc
@@ -82,7 +82,7 @@
     next_series_ = state_.time.now() + probe_interval;
     to_probe_.clear();
     for (const auto& [id, entry] : state_.backends.all()) {
-        if (id != excluded && !entry.server.leaving && !entry.lapsed_at) {
+        if (id != excluded && !entry.is_leaving() && !entry.lapsed_at) {
             to_probe_.push_back(entry.server.address);
         }
     }
--- a/src/node/serving_metrics.h
+++ b/src/node/serving_metrics.h
@@ -55,6 +55,8 @@
         std::size_t brittle_servers = 0;
         /// The node does not reach the servers over connections of its own.
         bool server_links_lost = false;
+        /// Servers that say in answers that they leave.
+        std::size_t leaving_servers = 0;
     };
     /// All metrics in the Prometheus text format.
     [[nodiscard]] std::string text(const snapshot& now);
--- a/src/node/table_observers.cc
+++ b/src/node/table_observers.cc
@@ -123,7 +123,7 @@
     if (previous == nullptr || previous->lapsed_at) {
         return;
     }
-    state_.log.write(previous->server.leaving ? server_gone : server_vanished,
+    state_.log.write(previous->is_leaving() ? server_gone : server_vanished,
                      {{"server", id.str()}});
     state_.backends.remove(id, state_.time.now());
 }
--- a/src/serving/backend_list.cc
+++ b/src/serving/backend_list.cc
@@ -5,7 +5,12 @@
 namespace jujubetide {
 
 void backend_list::put(const backend_server& server) {
-    entries_[server.id] = {server, std::nullopt};
+    notices_.on_registered(server.id, server.started_at_ms);
+    const auto found = entries_.find(server.id);
+    if (found != entries_.end() && !server.leaving && found->second.server != server) {
+        notices_.on_registered_anew(server.id);
+    }
+    entries_[server.id] = {server, notices_.is_leaving(server.id), std::nullopt};
 }
 
 void backend_list::remove(const backend_server_id& id, time_point now) {
@@ -14,7 +19,7 @@
         return;
     }
     // A server that announced its stop will not register again.
-    if (found->second.server.leaving) {
+    if (found->second.is_leaving()) {
         entries_.erase(found);
     } else if (!found->second.lapsed_at) {
         found->second.lapsed_at = now;
@@ -31,9 +36,48 @@
         }
         return is_expired;
     });
+    for (const auto& [id, item] : entries_) {
+        notices_.on_listed(id, now);
+    }
+    for (const backend_server_id& id : notices_.expire(now)) {
+        update_notice(id);
+    }
     return expired;
 }
 
+bool backend_list::on_leaving_answer(const backend_server& server, time_point now) {
+    if (has_later_run(server.id, server.started_at_ms)) {
+        return false;
+    }
+    const bool is_new = notices_.on_answer(server.id, server.started_at_ms, now);
+    update_notice(server.id);
+    return is_new;
+}
+
+std::vector<backend_server_id>
+backend_list::on_peer_leaving_reports(std::vector<leaving_report> reports, time_point now) {
+    std::erase_if(reports, [this](const leaving_report& report) {
+        return has_later_run(report.server, report.started_at_ms);
+    });
+    std::vector<backend_server_id> added = notices_.on_peer_reports(reports, now);
+    for (const backend_server_id& id : added) {
+        update_notice(id);
+    }
+    return added;
+}
+
+bool backend_list::has_later_run(const backend_server_id& id, std::int64_t started_at_ms) const {
+    const entry* const listed = find(id);
+    return listed != nullptr && listed->server.started_at_ms > started_at_ms;
+}
+
+void backend_list::update_notice(const backend_server_id& id) {
+    const auto found = entries_.find(id);
+    if (found != entries_.end()) {
+        found->second.has_leaving_notice = notices_.is_leaving(id);
+    }
+}
+
 std::vector<backend_server_id>
 backend_list::missing_from(const std::vector<backend_server>& servers) const {
     absl::flat_hash_set<backend_server_id> present;
@@ -58,7 +102,7 @@
     std::vector<const backend_server*> present;
     std::vector<const backend_server*> lapsed;
     for (const auto& [id, item] : entries_) {
-        if (item.server.service == service && !item.server.leaving) {
+        if (item.server.service == service && !item.is_leaving()) {
             (item.lapsed_at ? lapsed : present).push_back(&item.server);
         }
     }
--- a/tests/node/call_forwarder_test.cc
+++ b/tests/node/call_forwarder_test.cc
@@ -96,6 +96,23 @@
     CHECK(read_result(fixture.forward().head.headers) == forward_result::not_sent);
 }
 
+TEST_CASE("a peer passes no attempt on to a server that leaves") {
+    forwarder_fixture fixture;
+    int received = 0;
+    scripted_server server(fixture.loop, fixture.time, [&](scripted_call& call) {
+        ++received;
+        header_list headers;
+        headers.add("X-Attempt-Id", "id-1");
+        headers.add("X-Upstream-Signature", "s");
+        headers.add("Server-Leaving", "1");
+        call.exchange->respond(200, headers, "ok");
+    });
+    fixture.add_server(server.address());
+    CHECK(is_complete_answer(fixture.forward()));
+    CHECK(read_result(fixture.forward().head.headers) == forward_result::not_sent);
+    CHECK(received == 1);
+}
+
 TEST_CASE("a forwarded attempt ends at the server when its sender has gone") {
     forwarder_fixture fixture;
     scripted_server server(fixture.loop, fixture.time, [](scripted_call&) {});
