REFUSED, TWICE: an earlier refusal that a server repeats is not taken for a call's answer

Cause: an answer without an attempt id was matched to its call by its place on the connection. A server that wrote an earlier refusal once more on a kept connection so made the node believe that the next call there had not run. Evidence: a server that does so gets its next request answered 503 while it runs, or has it run at a second server too. Change: an answer without an id counts only as the first one on its connection, which is not used again; elsewhere the call may have run. Attempts that a peer passes on fail the same way, and calls without an id get a connection of their own.

--- a/include/jujubetide/http1/http1_client.h
+++ b/include/jujubetide/http1/http1_client.h
@@ -66,9 +66,15 @@
     /// Pauses and resumes reading the response when its receiver cannot keep up.
     void pause() { do_set_reading(false); }
     void resume() { do_set_reading(true); }
+    /// Whether the connection has carried an earlier call.
+    [[nodiscard]] bool is_on_used_connection() const { return do_is_on_used_connection(); }
+    /// Closes the connection after the response.
+    void prevent_reuse() { do_prevent_reuse(); }
 
 protected:
     virtual void do_set_reading(bool enabled) = 0;
+    [[nodiscard]] virtual bool do_is_on_used_connection() const = 0;
+    virtual void do_prevent_reuse() = 0;
 };
 
 /// Makes HTTP/1.1 calls over pooled keep-alive connections, one at a time on each.
--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -55,6 +55,7 @@
     /// Drops the call's events and closes the connection, with a reset unless it is idle.
     void detach();
     void set_reading(bool enabled);
+    void prevent_reuse() { may_reuse_ = false; }
     [[nodiscard]] bool is_usable(time_point now, micros max_idle) const;
     [[nodiscard]] const endpoint& server() const { return server_; }
 
@@ -83,6 +84,7 @@
     std::unique_ptr<timer_subscription> connect_timer_;
     std::unique_ptr<timer_subscription> timer_;
     bool keep_alive_ = false;
+    bool may_reuse_ = true;
     bool skipping_response_ = false;
     bool informational_response_ = false;
     /// Bytes of the current call that were not part of its own response.
@@ -286,7 +288,7 @@
 void pooled_connection::complete() {
     timer_.reset();
     call_events* events = std::exchange(events_, nullptr);
-    if (keep_alive_ && connection_->is_open()) {
+    if (keep_alive_ && may_reuse_ && connection_->is_open()) {
         state_ = state::idle;
         idle_since_ = pool_->time.now();
         pool_->add_idle(shared_from_this());
@@ -343,8 +345,10 @@
 
 class running_call final : public http1_call {
 public:
-    explicit running_call(std::shared_ptr<pooled_connection> connection, call_events& events)
-        : connection_(std::move(connection)), tracker_(std::make_shared<tracker>(events)) {}
+    running_call(std::shared_ptr<pooled_connection> connection, bool is_on_used_connection,
+                 call_events& events)
+        : connection_(std::move(connection)), is_on_used_connection_(is_on_used_connection),
+          tracker_(std::make_shared<tracker>(events)) {}
     ~running_call() override {
         if (!tracker_->ended) {
             connection_->detach();
@@ -393,9 +397,16 @@
             connection_->set_reading(enabled);
         }
     }
+    bool do_is_on_used_connection() const override { return is_on_used_connection_; }
+    void do_prevent_reuse() override {
+        if (!tracker_->ended) {
+            connection_->prevent_reuse();
+        }
+    }
 
 private:
     std::shared_ptr<pooled_connection> connection_;
+    bool is_on_used_connection_;
     std::shared_ptr<tracker> tracker_;
 };
 
@@ -416,11 +427,12 @@
 std::unique_ptr<http1_call> http1_client::call(const endpoint& server, std::string request,
                                                const call_options& options, call_events& events) {
     std::shared_ptr<pooled_connection> connection = state_->take_idle(server, options.max_idle);
+    const bool is_used = connection != nullptr;
     if (!connection) {
         connection = std::make_shared<pooled_connection>(state_, server);
         connection->open();
     }
-    auto running = std::make_unique<running_call>(connection, events);
+    auto running = std::make_unique<running_call>(connection, is_used, events);
     connection->start(std::move(request), options, running->events());
     return running;
 }
--- a/src/node/call_forwarder.cc
+++ b/src/node/call_forwarder.cc
@@ -53,6 +53,15 @@
         if (!fields.attempt_id.empty() && fields.attempt_id != order_.attempt_id) {
             return false; // A late response to another call.
         }
+        if (fields.attempt_id.empty()) {
+            // It may be a copy of an answer to an earlier call, and the peer could not tell.
+            state_.log.write(unnamed_answer_rejected, {{"id", order_.attempt_id},
+                                                       {"server", server_.id.str()},
+                                                       {"status", std::to_string(head.status)}});
+            const auto self = shared_from_this();
+            fail(forward_result::broken);
+            return true;
+        }
         apply_leaving_notice(state_, server_, fields);
         framing_ = head.framing;
         header_list headers = state_.codec.caller_headers(head);
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -45,6 +45,8 @@
 inline constexpr log_event server_leaving_notice{7058, log_severity::info, "server_leaving_notice"};
 inline constexpr log_event server_leaving_rejected{7059, log_severity::warning,
                                                    "server_leaving_rejected"};
+inline constexpr log_event unnamed_answer_rejected{7060, log_severity::warning,
+                                                   "unnamed_answer_rejected"};
 inline constexpr log_event peer_found{7040, log_severity::info, "peer_found"};
 inline constexpr log_event peer_lost{7041, log_severity::warning, "peer_lost"};
 inline constexpr log_event peer_message_rejected{7042, log_severity::warning,
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -306,6 +306,9 @@
     call_options options;
     options.connect_timeout = std::min<micros>(connect_timeout, time_left());
     options.max_idle = retry_policy::can_rerun(route_) ? max_idle : max_idle_not_idempotent;
+    if (request_.fields.attempt_id.empty()) {
+        options.max_idle = micros{0}; // Only its connection tells an answer from a copy of another.
+    }
     for (const prompt_prefix& prefix : shared_prefixes(request_.fields.prompt_parts)) {
         state_.prompts.on_own_prefix_cached(prefix.key, server_.id, sent_at_);
     }
@@ -398,6 +401,14 @@
     if (!is_for_this_call && !response_fields_.attempt_id.empty()) {
         return false; // A late response to another call.
     }
+    if (response_fields_.attempt_id.empty() && !is_first_answer_on_connection()) {
+        state_.log.write(unnamed_answer_rejected, {{"id", request_.fields.attempt_id},
+                                                   {"server", server_.id.str()},
+                                                   {"status", std::to_string(head.status)}});
+        on_attempt_failed(progress_.has_begun ? attempt_outcome::broken_midway
+                                              : attempt_outcome::broken);
+        return true;
+    }
     response_head_ = head;
     response_head_.headers = without_result(head.headers);
     has_response_head_ = true;
@@ -411,6 +422,15 @@
     return true;
 }
 
+bool proxied_call::is_first_answer_on_connection() {
+    if (peer_ || call_->is_on_used_connection()) {
+        return false;
+    }
+    // The next call could not tell a copy of this answer from its own.
+    call_->prevent_reuse();
+    return true;
+}
+
 void proxied_call::read_server_limit() {
     if (response_fields_.wrong_server) {
         return;
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -63,6 +63,9 @@
     [[nodiscard]] std::optional<placement_choice> choose_server();
     /// The servers of the call's service that may get a call now, within the limits they named.
     [[nodiscard]] std::vector<const backend_server*> candidates();
+    /// Whether an answer without an attempt id can only belong to this call; its connection is not
+    /// used again then.
+    [[nodiscard]] bool is_first_answer_on_connection();
     /// Passes on what the server's answer says about its limit.
     void read_server_limit();
     /// Passes on what the server's answer says about the rejections that it can stand.
--- /dev/null
+++ b/tests/node/repeated_refusals_test.cc
@@ -0,0 +1,264 @@
+// Servers that write an earlier refusal once more on a kept connection, before they answer.
+#include "node_fixture.h"
+#include "node_process.h"
+#include "support/repeating_server.h"
+#include "support/row_store_server.h"
+
+#include <absl/strings/numbers.h>
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <map>
+#include <unistd.h>
+
+using namespace jujubetide;
+
+namespace {
+
+std::string named_request(const std::string& attempt, const std::string& path) {
+    header_list headers;
+    headers.add("Host", "h.example");
+    headers.add("X-Attempt-Id", attempt);
+    headers.add("Authorization", "Token key");
+    return serialize_request("POST", path, headers, "body");
+}
+
+/// A node with repeating servers; a call may be sent to two of them if it has not run.
+struct refusals_fixture : node_fixture {
+    refusals_fixture() { start({{"once", {{"maxAttempts", 2}}}, {"often", {{"maxAttempts", 2}}}}); }
+    repeating_server& add(const std::string& id, const std::string& service = "plain") {
+        repeating.push_back(std::make_unique<repeating_server>(loop));
+        const int before = log.count("server_seen");
+        store.put("servers", id, registration_of_test(service, repeating.back()->address()));
+        REQUIRE(run_until(loop, [&] { return log.count("server_seen") > before; }));
+        return *repeating.back();
+    }
+    recorded_call call_as(const std::string& attempt, const std::string& path) {
+        recorded_call events;
+        call_options options;
+        options.max_idle = micros{0};
+        const auto running =
+            client.call(tested->caller_endpoint(), named_request(attempt, path), options, events);
+        REQUIRE(run_until(loop, [&] { return events.over(); }));
+        return events;
+    }
+
+    std::vector<std::unique_ptr<repeating_server>> repeating;
+};
+
+/// Statuses that promise that the call has not run and will not.
+bool promises_not_run(int status) {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+TEST_CASE("an earlier refusal without an id that is repeated is not taken for a call's answer") {
+    refusals_fixture fixture;
+    repeating_server& server = fixture.add("i-1");
+    server.set_named(false);
+    server.refuse_next(1);
+    (void)fixture.call_as("id-1", "/once/"); // Leaves a connection that has carried a refusal.
+    server.run_next();
+    CHECK(fixture.call_as("id-2", "/once/").head.status == 200);
+    server.repeat_before_next();
+    const recorded_call got = fixture.call_as("id-3", "/once/");
+    run_for(fixture.loop, millis{50});
+    INFO("status " << got.head.status << ", runs " << server.runs("id-3"));
+    CHECK_FALSE((promises_not_run(got.head.status) && server.runs("id-3") > 0));
+    CHECK(server.runs("id-3") <= 1);
+}
+
+TEST_CASE("an earlier refusal of an engine that is repeated is not taken for a stream's answer") {
+    refusals_fixture fixture;
+    repeating_server& engine = fixture.add("i-1", "model");
+    engine.set_named(false);
+    engine.refuse_next(1);
+    (void)fixture.call_as("id-1", "/stream/");
+    (void)fixture.call_as("id-2", "/stream/");
+    engine.repeat_before_next();
+    const recorded_call got = fixture.call_as("id-3", "/stream/");
+    run_for(fixture.loop, millis{50});
+    INFO("status " << got.head.status << ", runs " << engine.runs("id-3"));
+    CHECK_FALSE((promises_not_run(got.head.status) && engine.runs("id-3") > 0));
+}
+
+TEST_CASE("an earlier refusal without an id that is repeated sends no call to a second server") {
+    refusals_fixture fixture;
+    repeating_server& one = fixture.add("i-1");
+    repeating_server& other = fixture.add("i-2");
+    for (repeating_server* server : {&one, &other}) {
+        server->set_named(false);
+        server->refuse_next(1);
+    }
+    (void)fixture.call_as("id-1", "/often/");
+    for (int i = 2; i < 10; ++i) {
+        one.repeat_before_next();
+        other.repeat_before_next();
+        const std::string id = "id-" + std::to_string(i);
+        const recorded_call got = fixture.call_as(id, "/once/");
+        run_for(fixture.loop, millis{30});
+        const int runs = one.runs(id) + other.runs(id);
+        INFO(id << ": status " << got.head.status << ", runs " << runs);
+        CHECK(runs <= 1);
+        CHECK_FALSE((promises_not_run(got.head.status) && runs > 0));
+    }
+}
+
+TEST_CASE("a refusal that is repeated for the same attempt is not believed") {
+    refusals_fixture fixture;
+    repeating_server& server = fixture.add("i-1");
+    server.refuse_next(1);
+    server.repeat_after_refusal();
+    const recorded_call got = fixture.call_as("id-1", "/once/");
+    run_for(fixture.loop, millis{50});
+    INFO("status " << got.head.status << ", runs " << server.runs("id-1"));
+    CHECK(server.runs("id-1") <= 1);
+    CHECK_FALSE((promises_not_run(got.head.status) && server.runs("id-1") > 0));
+}
+
+TEST_CASE("an earlier refusal that names its own attempt is skipped") {
+    refusals_fixture fixture;
+    repeating_server& server = fixture.add("i-1");
+    server.refuse_next(1);
+    (void)fixture.call_as("id-1", "/once/");
+    server.repeat_before_next();
+    const recorded_call got = fixture.call_as("id-2", "/once/");
+    CHECK(got.head.status == 200);
+    CHECK(server.runs("id-2") == 1);
+}
+
+namespace {
+
+std::uint64_t soak_number(const char* name, std::uint64_t default_value) {
+    const char* const text = std::getenv(name);
+    std::uint64_t number = 0;
+    return text != nullptr && absl::SimpleAtoi(text, &number) ? number : default_value;
+}
+
+/// Node programs that are suspended at random, before servers that refuse and repeat at random.
+class suspension_soak {
+public:
+    explicit suspension_soak(std::uint64_t seed) : random_(seed) {
+        std::filesystem::create_directories(folder_);
+        store_.put(
+            "op", "config",
+            config_of_test(1, {{"once", {{"maxAttempts", 3}}}, {"often", {{"maxAttempts", 3}}}}));
+        for (int i = 1; i <= server_count; ++i) {
+            servers_.push_back(std::make_unique<repeating_server>(loop_));
+            store_.put("servers", "i-" + std::to_string(i),
+                       registration_of_test("plain", servers_.back()->address()));
+        }
+        for (int i = 1; i <= node_count; ++i) {
+            nodes_.push_back(std::make_unique<node_process>(folder_, i, store_server_.address()));
+            nodes_.back()->start();
+        }
+    }
+    ~suspension_soak() {
+        calls_.clear();
+        nodes_.clear();
+        std::error_code ignored; // A log that cannot be removed harms no later run.
+        std::filesystem::remove_all(folder_, ignored);
+    }
+    suspension_soak(const suspension_soak&) = delete;
+    suspension_soak& operator=(const suspension_soak&) = delete;
+
+    void run(micros duration) {
+        run_for(loop_, millis{1'000});
+        const auto sending = loop_.every(millis{8}, millis{8}, [this] { send(); });
+        const auto refusing = loop_.every(millis{40}, millis{40}, [this] {
+            repeating_server& server = *servers_[random_.below(servers_.size())];
+            server.set_named(random_.below(2) == 0);
+            server.refuse_next(static_cast<int>(random_.below(3)));
+            server.repeat_before_next();
+        });
+        const auto suspending = loop_.every(millis{500}, millis{500}, [this] { suspend_one(); });
+        run_for(loop_, duration);
+        for (const auto& node : nodes_) {
+            node->signal(SIGCONT);
+        }
+        run_for(loop_, millis{2'500});
+    }
+    [[nodiscard]] std::string broken_promises() const {
+        std::string text;
+        for (const auto& [id, sent] : calls_) {
+            const int runs = runs_of(id);
+            const bool is_promised =
+                sent->events.whole && promises_not_run(sent->events.head.status);
+            if ((sent->runs_once && runs > 1) || (is_promised && runs > 0)) {
+                text += id + ": status " + std::to_string(sent->events.head.status) + ", runs " +
+                        std::to_string(runs) + "; ";
+            }
+        }
+        return text;
+    }
+    [[nodiscard]] std::map<int, int> answers() const {
+        std::map<int, int> by_status;
+        for (const auto& [id, sent] : calls_) {
+            ++by_status[sent->events.whole ? sent->events.head.status : 0];
+        }
+        return by_status;
+    }
+
+private:
+    static constexpr int node_count = 3;
+    static constexpr int server_count = 3;
+
+    struct sent_call {
+        bool runs_once = false;
+        recorded_call events;
+        std::unique_ptr<http1_call> call;
+    };
+
+    void send() {
+        const std::string id = "id-" + std::to_string(calls_.size());
+        auto sent = std::make_unique<sent_call>();
+        sent->runs_once = random_.below(4) != 0;
+        const endpoint node = nodes_[random_.below(nodes_.size())]->caller_endpoint();
+        sent->call = client_.call(node, named_request(id, sent->runs_once ? "/once/" : "/often/"),
+                                  {}, sent->events);
+        calls_[id] = std::move(sent);
+    }
+    void suspend_one() {
+        node_process& node = *nodes_[random_.below(nodes_.size())];
+        node.signal(SIGSTOP);
+        timers_.push_back(
+            loop_.once(millis(100 + random_.below(1'400)), [&node] { node.signal(SIGCONT); }));
+    }
+    [[nodiscard]] int runs_of(const std::string& id) const {
+        int runs = 0;
+        for (const auto& server : servers_) {
+            runs += server->runs(id);
+        }
+        return runs;
+    }
+
+    event_loop loop_;
+    boot_clock time_;
+    seeded_random random_;
+    std::filesystem::path folder_ = std::filesystem::temp_directory_path() /
+                                    ("jujubetide-suspension-" + std::to_string(::getpid()));
+    fake_row_store store_{loop_};
+    row_store_server store_server_{loop_, time_, store_};
+    http1_client client_{loop_, time_};
+    std::vector<std::unique_ptr<repeating_server>> servers_;
+    std::vector<std::unique_ptr<node_process>> nodes_;
+    std::map<std::string, std::unique_ptr<sent_call>> calls_;
+    std::vector<std::unique_ptr<timer_subscription>> timers_;
+};
+
+} // namespace
+
+TEST_CASE("suspended node programs run no refused call and none twice, whatever servers repeat") {
+    suspension_soak soak(soak_number("JUJUBETIDE_SOAK_SEED", 1));
+    soak.run(std::chrono::seconds(soak_number("JUJUBETIDE_SOAK_SECONDS", 8)));
+    for (const auto& [status, count] : soak.answers()) {
+        std::cout << "suspension soak: " << count << " answers " << status << "\n";
+    }
+    INFO(soak.broken_promises());
+    CHECK(soak.broken_promises().empty());
+    CHECK(soak.answers()[200] > 0);
+}
