EXPOSURE: a version to which a service is moved gets a small share of its calls

Cause: nothing read the operators' order to move a service, so the servers of the new version got their share of the service's calls from their first moment, and went on getting it whatever they answered. Why not a comparison of the versions: docs/DESIGN.md.

--- a/include/jujubetide/node/row_decoder.h
+++ b/include/jujubetide/node/row_decoder.h
@@ -2,6 +2,7 @@
 
 #include "jujubetide/serving/backend_list.h"
 #include "jujubetide/serving/serving_config.h"
+#include "jujubetide/serving/version_trials.h"
 
 #include <absl/status/statusor.h>
 
@@ -21,6 +22,11 @@
                                                               const std::string& value) const {
         return do_registration(id, value);
     }
+    /// Decodes the operators' order in a row of the configuration's table whose key begins with
+    /// `move_order_prefix`.
+    [[nodiscard]] absl::StatusOr<move_order> order(const std::string& value) const {
+        return do_order(value);
+    }
 
 protected:
     row_decoder() = default;
@@ -30,6 +36,7 @@
     do_config(const std::string& value) const = 0;
     [[nodiscard]] virtual absl::StatusOr<backend_server>
     do_registration(const backend_server_id& id, const std::string& value) const = 0;
+    [[nodiscard]] virtual absl::StatusOr<move_order> do_order(const std::string& value) const = 0;
 };
 
 /// Names of the tables in which the platform keeps the configuration and the registrations.
@@ -37,6 +44,9 @@
     std::string config_table;
     std::string config_key;
     std::string registration_table;
+    /// The keys of the configuration's table that begin so hold orders to move a service; the
+    /// service's id follows.
+    std::string move_order_prefix;
 };
 
 } // namespace jujubetide
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -145,6 +145,7 @@
     heartbeat.server_limits = state_.limits.reports(state_.time.now());
     heartbeat.reaches_servers = !state_.links.are_lost();
     heartbeat.leaving_servers = state_.backends.notices().reports(state_.time.now());
+    heartbeat.trials = state_.trials.reports();
     const std::string bytes = encode(heartbeat);
     for (const auto& [node, other] : peers_) {
         socket_->send(other.record.peers, bytes);
@@ -209,6 +210,12 @@
     state_.crashes.on_peer_suspicions(heartbeat->suspicions);
     apply_server_limits(heartbeat->server_limits);
     apply_leaving_reports(state_, heartbeat->leaving_servers);
+    for (const move_order& stopped :
+         state_.trials.on_peer_reports(heartbeat->node, heartbeat->trials)) {
+        state_.log.write(
+            version_stopped,
+            {{"service", stopped.service.str()}, {"version", stopped.to.str()}, {"from", "peer"}});
+    }
     if (on_newer_table_ && has_newer_table(sender)) {
         on_newer_table_();
     }
--- a/src/node/peer_heartbeat.cc
+++ b/src/node/peer_heartbeat.cc
@@ -66,6 +66,51 @@
     return report;
 }
 
+json to_json(const trial_report& report) {
+    return {report.service.str(), report.version.str(), report.bad_answers, report.is_stopped};
+}
+
+trial_report to_trial_report(const json& item) {
+    return {service_id(item.at(0).get<std::string>()), version_id(item.at(1).get<std::string>()),
+            item.at(2).get<std::uint64_t>(), item.at(3).get<bool>()};
+}
+
+template <class Item>
+json to_array(const std::vector<Item>& items) {
+    json array = json::array();
+    for (const Item& item : items) {
+        array.push_back(to_json(item));
+    }
+    return array;
+}
+
+/// Reads the fields from `index` on, which nodes of earlier releases do not send.
+void read_later_fields(const json& body, std::size_t index, peer_heartbeat& heartbeat) {
+    if (index < body.size()) {
+        for (const json& item : body.at(index++)) {
+            heartbeat.suspicions.push_back(to_suspicion(item));
+        }
+    }
+    if (index < body.size()) {
+        for (const json& item : body.at(index++)) {
+            heartbeat.server_limits.push_back(to_limit_report(item));
+        }
+    }
+    if (index < body.size()) {
+        heartbeat.reaches_servers = body.at(index++).get<bool>();
+    }
+    if (index < body.size()) {
+        for (const json& item : body.at(index++)) {
+            heartbeat.leaving_servers.push_back(to_leaving_report(item));
+        }
+    }
+    if (index < body.size()) {
+        for (const json& item : body.at(index++)) {
+            heartbeat.trials.push_back(to_trial_report(item));
+        }
+    }
+}
+
 } // namespace
 
 std::string encode(const peer_heartbeat& heartbeat) {
@@ -97,18 +142,6 @@
     for (const auto& [service, servers] : heartbeat.demand) {
         demand.push_back({service.str(), static_cast<float>(servers)});
     }
-    json suspicions = json::array();
-    for (const prompt_suspicion& suspicion : heartbeat.suspicions) {
-        suspicions.push_back(to_json(suspicion));
-    }
-    json limits = json::array();
-    for (const server_limit_report& report : heartbeat.server_limits) {
-        limits.push_back(to_json(report));
-    }
-    json leaving = json::array();
-    for (const leaving_report& report : heartbeat.leaving_servers) {
-        leaving.push_back(to_json(report));
-    }
     const json body = {heartbeat_format,
                        heartbeat.node.str(),
                        heartbeat.start.value(),
@@ -127,10 +160,11 @@
                        std::move(loads),
                        std::move(demand),
                        std::move(readings),
-                       std::move(suspicions),
-                       std::move(limits),
+                       to_array(heartbeat.suspicions),
+                       to_array(heartbeat.server_limits),
                        heartbeat.reaches_servers,
-                       std::move(leaving)};
+                       to_array(heartbeat.leaving_servers),
+                       to_array(heartbeat.trials)};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -181,24 +215,7 @@
             heartbeat.readings.push_back({prefix_key(item.at(0).get<std::uint64_t>()),
                                           backend_server_id(item.at(1).get<std::string>())});
         }
-        if (index < body.size()) { // Nodes of earlier releases do not send these.
-            for (const json& item : body.at(index++)) {
-                heartbeat.suspicions.push_back(to_suspicion(item));
-            }
-        }
-        if (index < body.size()) {
-            for (const json& item : body.at(index++)) {
-                heartbeat.server_limits.push_back(to_limit_report(item));
-            }
-        }
-        if (index < body.size()) {
-            heartbeat.reaches_servers = body.at(index++).get<bool>();
-        }
-        if (index < body.size()) {
-            for (const json& item : body.at(index++)) {
-                heartbeat.leaving_servers.push_back(to_leaving_report(item));
-            }
-        }
+        read_later_fields(body, index, heartbeat);
         return heartbeat;
     } catch (const json::exception& error) {
         return absl::InvalidArgumentError(
--- a/src/node/peer_heartbeat.h
+++ b/src/node/peer_heartbeat.h
@@ -8,6 +8,7 @@
 #include "jujubetide/serving/server_limits.h"
 #include "jujubetide/serving/usage_cap.h"
 #include "jujubetide/serving/usage_ledger.h"
+#include "jujubetide/serving/version_trials.h"
 
 #include <absl/status/statusor.h>
 
@@ -55,6 +56,8 @@
     bool reaches_servers = true;
     /// Servers that said in answers to this node that they leave.
     std::vector<leaving_report> leaving_servers;
+    /// Answers of versions on trial to this node.
+    std::vector<trial_report> trials;
 };
 
 std::string encode(const peer_heartbeat& heartbeat);
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -180,6 +180,9 @@
 
 std::vector<const backend_server*> proxied_call::candidates() {
     std::vector<const backend_server*> servers = state_.backends.usable(service_->id);
+    std::erase_if(servers, [this](const backend_server* server) {
+        return !state_.trials.may_send(*server, state_.backends);
+    });
     limited_count_ = 0;
     limited_interval_ = micros::max();
     std::erase_if(servers, [this](const backend_server* server) {
@@ -314,6 +317,7 @@
     }
     state_.loads.on_sent(server_.id, choice_.prefill_tokens, choice_.held_tokens);
     state_.limits.on_sent(server_.id, state_.time.wall_now());
+    state_.trials.on_sent(server_);
     if (progress_.servers_tried == 0 && progress_.undelivered_sends == 0) {
         // Engines generate tokens between the chunks of the prompts that they read: generation
         // takes places, but hardly any of the time for prompts.
@@ -554,6 +558,8 @@
     }
     if (is_success(response_head_.status)) {
         state_.health.on_success(server_.id, state_.time.now());
+        const micros latency = is_stream() ? first_event_latency_ : state_.time.now() - sent_at_;
+        record_trial_answer(latency > route_.target);
         check_engine_survived();
         if (is_stream()) {
             if (!progress_.has_begun) {
@@ -686,6 +692,7 @@
         progress_.may_have_run = true;
         count_usage_once();
         state_.health.on_bad_answer(server_.id, now);
+        record_trial_answer(true);
         break;
     }
     last_outcome_ = outcome;
@@ -705,6 +712,14 @@
                       {"servers_tried", std::to_string(progress_.servers_tried)}});
 }
 
+void proxied_call::record_trial_answer(bool is_bad) {
+    if (state_.trials.on_answer(server_, is_bad)) {
+        state_.log.write(version_stopped, {{"service", server_.service.str()},
+                                           {"version", server_.version.str()},
+                                           {"from", "answer"}});
+    }
+}
+
 void proxied_call::continue_after(attempt_outcome outcome) {
     const auto alive = shared_from_this();
     next_step step = retry_policy::decide(route_, progress_, outcome);
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -90,6 +90,8 @@
     /// The connection broke after the request was sent.
     void on_connection_broken();
     void record_failed_attempt(attempt_outcome outcome);
+    /// Counts the answer where the server's version is on trial.
+    void record_trial_answer(bool is_bad);
     void continue_after(attempt_outcome outcome);
     /// Records once that the engine survived the start of the answer.
     void check_engine_survived();
--- a/src/node/serving_state.h
+++ b/src/node/serving_state.h
@@ -21,6 +21,7 @@
 #include "jujubetide/serving/serving_config.h"
 #include "jujubetide/serving/usage_cap.h"
 #include "jujubetide/serving/usage_ledger.h"
+#include "jujubetide/serving/version_trials.h"
 
 #include <absl/container/flat_hash_set.h>
 
@@ -59,6 +60,8 @@
     server_limits limits;
     brittle_servers brittle{random};
     server_health health;
+    /// Half of what the operators allow, so that repeats and restarts of nodes stay within it too.
+    version_trials trials{settings.canary_share / 2.0};
     server_links links{*this};
     crash_watch crashes{*this};
     prefix_cache_tracker prompts;
--- a/src/node/table_observers.cc
+++ b/src/node/table_observers.cc
@@ -26,10 +26,30 @@
     for (const stored_row& row : rows) {
         if (row.key == tables_.config_key && !row.removed) {
             apply(row);
+        } else if (row.key.starts_with(tables_.move_order_prefix)) {
+            apply_move_order(row);
         }
     }
 }
 
+void config_observer::apply_move_order(const stored_row& row) {
+    if (row.removed) {
+        state_.trials.on_order_removed(
+            service_id(row.key.substr(tables_.move_order_prefix.size())));
+        return;
+    }
+    const absl::StatusOr<move_order> order = decoder_.order(row.value);
+    if (!order.ok()) {
+        state_.log.write(move_order_rejected,
+                         {{"key", row.key}, {"why", std::string(order.status().message())}});
+        return;
+    }
+    if (state_.trials.on_order(*order)) {
+        state_.log.write(move_ordered,
+                         {{"service", order->service.str()}, {"version", order->to.str()}});
+    }
+}
+
 void config_observer::apply(const stored_row& row) {
     absl::StatusOr<serving_config::parts> parts = decoder_.config(row.value);
     if (!parts.ok()) {
--- a/src/node/table_observers.h
+++ b/src/node/table_observers.h
@@ -27,6 +27,7 @@
 
 private:
     void apply(const stored_row& row);
+    void apply_move_order(const stored_row& row);
 
     serving_state& state_;
     const row_decoder& decoder_;
--- a/tests/node/peer_heartbeat_test.cc
+++ b/tests/node/peer_heartbeat_test.cc
@@ -29,8 +29,14 @@
     heartbeat.server_limits = {{backend_server_id("i-1"), 1.5, millis{30}},
                                {backend_server_id("i-2"), std::nullopt, millis{20}}};
     heartbeat.leaving_servers = {{backend_server_id("i-3"), 1'777, millis{10}}};
+    heartbeat.trials = {{service_id("s"), version_id("v2"), 7, true}};
     const auto decoded = decode_heartbeat(encode(heartbeat));
     REQUIRE(decoded.ok());
+    REQUIRE(decoded->trials.size() == 1);
+    CHECK(decoded->trials[0].service == service_id("s"));
+    CHECK(decoded->trials[0].version == version_id("v2"));
+    CHECK(decoded->trials[0].bad_answers == 7);
+    CHECK(decoded->trials[0].is_stopped);
     REQUIRE(decoded->leaving_servers.size() == 1);
     CHECK(decoded->leaving_servers[0].server == backend_server_id("i-3"));
     CHECK(decoded->leaving_servers[0].started_at_ms == 1'777);
@@ -75,9 +81,10 @@
     heartbeat.server_limits = {{backend_server_id("i-1"), 1.5, millis{30}}};
     heartbeat.reaches_servers = false;
     heartbeat.leaving_servers = {{backend_server_id("i-1"), 1'777, millis{10}}};
+    heartbeat.trials = {{service_id("s"), version_id("v2"), 7, true}};
     const std::string encoded = encode(heartbeat);
     const auto list = nlohmann::json::from_msgpack(encoded);
-    for (const std::size_t missing : {1U, 2U, 3U, 4U}) {
+    for (const std::size_t missing : {1U, 2U, 3U, 4U, 5U}) {
         nlohmann::json earlier = nlohmann::json::array();
         for (std::size_t i = 0; i + missing < list.size(); ++i) {
             earlier.push_back(list[i]);
@@ -87,10 +94,11 @@
             decode_heartbeat({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
         REQUIRE(decoded.ok());
         CHECK(decoded->node == node_id("n1"));
-        CHECK(decoded->leaving_servers.empty());
-        CHECK(decoded->reaches_servers == (missing >= 2));
-        CHECK(decoded->server_limits.size() == (missing < 3 ? 1 : 0));
-        CHECK(decoded->suspicions.size() == (missing < 4 ? 1 : 0));
+        CHECK(decoded->trials.empty());
+        CHECK(decoded->leaving_servers.size() == (missing < 2 ? 1 : 0));
+        CHECK(decoded->reaches_servers == (missing >= 3));
+        CHECK(decoded->server_limits.size() == (missing < 4 ? 1 : 0));
+        CHECK(decoded->suspicions.size() == (missing < 5 ? 1 : 0));
     }
 }
 
