BUDGET: log lines tell which attempts had the same content

Change: attempt_over has the field content, a hash of host, method, path, customer and body. No change of behaviour.

--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -4,6 +4,8 @@
 #include "node/leaving_answers.h"
 #include "node/node_events.h"
 
+#include "jujubetide/base/rendezvous_hash.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -143,6 +145,14 @@
     return deadline_ - state_.time.now();
 }
 
+std::uint64_t proxied_call::content() const {
+    std::uint64_t hash = stable_hash(request_.fields.host);
+    hash = stable_hash(request_.head.method, hash);
+    hash = stable_hash(request_.head.target, hash);
+    hash = stable_hash(customer_ != nullptr ? customer_->id.str() : std::string(), hash);
+    return stable_hash(request_.body, hash);
+}
+
 void proxied_call::choose_service() {
     double total = 0.0;
     for (const weighted_service& candidate : route_.services) {
@@ -709,6 +719,7 @@
                       {"server_calls", std::to_string(server_calls)},
                       {"server_limit", limit_text(response_fields_)},
                       {"parts", shared_part_ids(request_.fields.prompt_parts)},
+                      {"content", absl::StrCat(absl::Hex(content()))},
                       {"servers_tried", std::to_string(progress_.servers_tried)}});
 }
 
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -6,6 +6,7 @@
 #include "jujubetide/http1/http1_server.h"
 #include "jujubetide/serving/retry_policy.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <span>
@@ -39,6 +40,8 @@
     [[nodiscard]] std::span<const prompt_part> prompt_parts() const {
         return request_.fields.prompt_parts;
     }
+    /// Identifies the host, path, customer and body of the call over all calls.
+    [[nodiscard]] std::uint64_t content() const;
     /// Cancels the running attempt and fails the call, unless the answer has begun.
     void stop_before_answer();
     /// The node has lost its links to the servers: ends an attempt over a connection that has been
