--- a/include/jujubetide/serving/prompt_quarantine.h
+++ b/include/jujubetide/serving/prompt_quarantine.h
@@ -20,6 +20,26 @@
 /// Identifies one run of a backend server's process: a restart is another run.
 using server_run_id = strong_id<struct server_run_tag>;
 
+/// What may be the cause when a server crashes under a call: each part of its prompt but the last,
+/// which no other call has, and the content of the call as a whole, which its caller may send
+/// again.
+class crash_suspects {
+public:
+    crash_suspects() = default;
+    // Not explicit: most callers have only a prompt.
+    crash_suspects(const std::vector<prompt_part>& parts);
+    /// `content` is the same for calls with the same content.
+    crash_suspects(std::span<const prompt_part> parts, std::uint64_t content);
+
+    [[nodiscard]] const std::set<prompt_part_id>& ids() const { return ids_; }
+    [[nodiscard]] bool contains(const prompt_part_id& id) const { return ids_.contains(id); }
+    /// Whether the id stands for the content of a call.
+    static bool is_content(const prompt_part_id& id);
+
+private:
+    std::set<prompt_part_id> ids_;
+};
+
 /// What a node knows of a prompt part that was in calls to crashed engines, for its peers.
 struct prompt_suspicion {
     struct crash {
@@ -32,8 +52,9 @@
     std::vector<crash> crashes;
 };
 
-/// Finds prompt parts that crash the engines that begin to answer them, and blocks calls with them.
-/// The last part of a prompt is not considered: no other call has it.
+/// Finds prompt parts, and contents of calls, that crash the servers that begin to answer them, and
+/// blocks calls with them. What is said of parts holds for contents, but that answered contents are
+/// remembered only if servers crashed under them, and that their trials are fewer.
 ///
 /// An engine crash is evidence against every part of the calls that waited for their first event
 /// there. An answer to a call clears its parts. A part is quarantined when engines crashed under it
@@ -54,6 +75,8 @@
     static constexpr std::size_t min_crashed_runs = 4;
     /// Evidence older than this is dropped.
     static constexpr micros evidence_lifetime{1'200'000'000};
+    /// The same for a content that is blocked: longer than the time between its trials.
+    static constexpr micros content_evidence_lifetime{2 * 3'600'000'000LL};
     /// Parts that are remembered; of those without evidence, the oldest are dropped.
     static constexpr std::size_t max_parts = 8'192;
     /// Time between two trials.
@@ -62,16 +85,18 @@
     /// `random` must outlive this object.
     explicit prompt_quarantine(random_source& random) : random_(random) {}
 
-    /// A call with the parts was answered, and its engine survived the start of the answer.
-    void on_answered(std::span<const prompt_part> parts, time_point now);
-    /// An engine crashed before it began to answer a call with the parts. Returns whether this is
-    /// new evidence against a part that was never answered, which peers should know at once.
-    bool on_crash(const server_run_id& run, std::span<const prompt_part> parts, time_point now);
+    /// A call was answered, and its server survived the start of the answer.
+    void on_answered(const crash_suspects& suspects, time_point now);
+    /// A server crashed before it began to answer a call. Returns whether this is new evidence
+    /// against a part that was never answered, which peers should know at once.
+    bool on_crash(const server_run_id& run, const crash_suspects& suspects, time_point now);
 
-    /// Whether a call with the parts would be blocked; trials are not considered.
-    [[nodiscard]] bool is_blocked(std::span<const prompt_part> parts) const;
+    /// Whether a call would be blocked; trials are not considered.
+    [[nodiscard]] bool is_blocked(const crash_suspects& suspects) const;
     /// Admits a call, possibly as a trial, or returns the time until the next trial.
-    [[nodiscard]] std::optional<micros> admit(std::span<const prompt_part> parts, time_point now);
+    [[nodiscard]] std::optional<micros> admit(const crash_suspects& suspects, time_point now);
+    /// Whether there is evidence against anything.
+    [[nodiscard]] bool has_records() const { return !records_.empty(); }
 
     /// What peers should know: quarantined parts, and those with recent changes.
     [[nodiscard]] std::vector<prompt_suspicion> suspicions(time_point now) const;
@@ -84,6 +109,8 @@
 
     /// Minimum time from the last crash to the first trial. Grows with the number of crashes.
     static micros quarantine_time(std::size_t crashes);
+    /// The same for a content.
+    static micros content_quarantine_time(std::size_t crashes);
 
 private:
     struct record {
@@ -102,8 +129,9 @@
     void update_quarantine(const prompt_part_id& part);
     record& insert(const prompt_part_id& part, time_point now);
     /// The parts of a prompt that block a call with it.
-    [[nodiscard]] std::vector<prompt_part_id>
-    blocking_parts(std::span<const prompt_part> parts) const;
+    [[nodiscard]] std::vector<prompt_part_id> blocking_parts(const crash_suspects& suspects) const;
+    /// Appends the contents with recent changes, those with most crashes first.
+    void add_recent_contents(std::vector<prompt_suspicion>& list, time_point now) const;
 
     random_source& random_;
     absl::flat_hash_map<prompt_part_id, record> records_;
--- a/src/net/connect_check.cc
+++ b/src/net/connect_check.cc
@@ -19,6 +19,9 @@
 }
 
 void connect_check::finish(bool is_connected) {
+    if (const auto connection = std::exchange(connection_, nullptr)) {
+        connection->close();
+    }
     const handler done = std::exchange(done_, nullptr);
     if (done) {
         done(is_connected); // May destroy this object.
--- a/src/node/crash_watch.cc
+++ b/src/node/crash_watch.cc
@@ -19,13 +19,13 @@
 
 crash_watch::crash_watch(serving_state& state) : state_(state), quarantine_(state.random) {}
 
-void crash_watch::on_broken(const backend_server& server, std::vector<prompt_part> parts,
+void crash_watch::on_broken(const backend_server& server, crash_suspects suspects,
                             std::function<void()> done) {
     finished_checks_.clear();
     const server_run_id run = run_of(server);
     running_check& running = checks_[run];
     running.server = server.id;
-    running.calls.push_back({std::move(parts), std::move(done)});
+    running.calls.push_back({std::move(suspects), std::move(done)});
     if (!running.check) {
         running.check =
             connect_check::start(state_.loop, server.address, connect_timeout,
@@ -55,7 +55,7 @@
     bool is_urgent = false;
     if (is_crash) {
         for (const waiting_call& call : calls) {
-            is_urgent = quarantine_.on_crash(run, call.parts, state_.time.now()) || is_urgent;
+            is_urgent = quarantine_.on_crash(run, call.suspects, state_.time.now()) || is_urgent;
         }
         state_.log.write(server_crashed,
                          {{"run", run.str()}, {"waiting_calls", absl::StrCat(calls.size())}});
@@ -69,14 +69,14 @@
     }
 }
 
-void crash_watch::on_answered(std::span<const prompt_part> parts) {
+void crash_watch::on_answered(const crash_suspects& suspects) {
     const std::set<prompt_part_id> before = quarantine_.quarantined();
-    quarantine_.on_answered(parts, state_.time.now());
+    quarantine_.on_answered(suspects, state_.time.now());
     apply_changes(before);
 }
 
-std::optional<micros> crash_watch::refusal(std::span<const prompt_part> parts) {
-    return quarantine_.admit(parts, state_.time.now());
+std::optional<micros> crash_watch::refusal(const crash_suspects& suspects) {
+    return quarantine_.admit(suspects, state_.time.now());
 }
 
 std::vector<prompt_suspicion> crash_watch::suspicions() const {
@@ -122,7 +122,7 @@
     }
     const auto running = state_.running_calls;
     for (const auto& call : running) {
-        if (quarantine_.is_blocked(call->prompt_parts())) {
+        if (quarantine_.is_blocked(call->suspects())) {
             call->stop_before_answer();
         }
     }
--- a/src/node/crash_watch.h
+++ b/src/node/crash_watch.h
@@ -16,8 +16,8 @@
 
 struct serving_state;
 
-/// Finds out which engines crash under calls, and keeps calls whose prompts crash engines from
-/// being sent. Must not be destroyed from one of its handlers.
+/// Finds out which servers crash under calls, and keeps calls that crash servers from being sent.
+/// Must not be destroyed from one of its handlers.
 class crash_watch {
 public:
     /// A server that accepts no connection for this long after it broke one off has crashed.
@@ -26,13 +26,16 @@
     /// `state` must outlive this object.
     explicit crash_watch(serving_state& state);
 
-    /// The connection to `server` broke before it began to answer a call with `parts`. Calls `done`
-    /// once it is known whether the server has crashed.
-    void on_broken(const backend_server& server, std::vector<prompt_part> parts,
+    /// The connection to `server` broke before it began to answer a call. Calls `done` once it is
+    /// known whether the server has crashed.
+    void on_broken(const backend_server& server, crash_suspects suspects,
                    std::function<void()> done);
-    void on_answered(std::span<const prompt_part> parts);
+    void on_answered(const crash_suspects& suspects);
     /// The time after which the caller may try again, if the call must not be sent.
-    [[nodiscard]] std::optional<micros> refusal(std::span<const prompt_part> parts);
+    [[nodiscard]] std::optional<micros> refusal(const crash_suspects& suspects);
+    /// Whether there is evidence against anything.
+    [[nodiscard]] bool has_evidence() const { return quarantine_.has_records(); }
+    [[nodiscard]] bool blocks_calls() const { return !quarantine_.quarantined().empty(); }
 
     [[nodiscard]] std::vector<prompt_suspicion> suspicions() const;
     void on_peer_suspicions(std::span<const prompt_suspicion> suspicions);
@@ -43,7 +46,7 @@
 
 private:
     struct waiting_call {
-        std::vector<prompt_part> parts;
+        crash_suspects suspects;
         std::function<void()> done;
     };
     struct running_check {
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -223,14 +223,23 @@
            elapsed + choice.first_event > deadline_ - request_.received_at;
 }
 
+bool proxied_call::end_if_crashing() {
+    const auto wait = state_.crashes.blocks_calls() ? state_.crashes.refusal(suspects())
+                                                    : std::optional<micros>();
+    if (!wait) {
+        return false;
+    }
+    last_cause_ = service_->engine ? "crashing_prompt" : "crashing_request";
+    if (progress_.may_have_run) {
+        apply_step(retry_policy::fallback_step(progress_, last_outcome_), last_outcome_);
+    } else {
+        refuse(last_cause_, *wait);
+    }
+    return true;
+}
+
 void proxied_call::try_next_server() {
-    if (const auto wait = state_.crashes.refusal(request_.fields.prompt_parts)) {
-        last_cause_ = "crashing_prompt";
-        if (progress_.may_have_run) {
-            apply_step(retry_policy::fallback_step(progress_, last_outcome_), last_outcome_);
-        } else {
-            refuse(last_cause_, *wait);
-        }
+    if (end_if_crashing()) {
         return;
     }
     if (time_left() < min_time_for_attempt) {
@@ -634,14 +643,14 @@
 void proxied_call::on_connection_broken() {
     const attempt_outcome outcome =
         progress_.has_begun ? attempt_outcome::broken_midway : attempt_outcome::broken;
-    if (peer_ || has_engine_survived_ || request_.fields.prompt_parts.size() < 2) {
+    if (peer_ || has_engine_survived_) {
         on_attempt_failed(outcome);
         return;
     }
     record_failed_attempt(outcome);
     waits_for_crash_check_ = true;
     const std::weak_ptr<proxied_call> weak = weak_from_this();
-    state_.crashes.on_broken(server_, request_.fields.prompt_parts, [weak, outcome] {
+    state_.crashes.on_broken(server_, suspects(), [weak, outcome] {
         const auto call = weak.lock();
         if (call && std::exchange(call->waits_for_crash_check_, false)) {
             call->continue_after(outcome);
@@ -650,8 +659,10 @@
 }
 
 void proxied_call::check_engine_survived() {
-    if (!std::exchange(has_engine_survived_, true)) {
-        state_.crashes.on_answered(request_.fields.prompt_parts);
+    const bool had_survived = std::exchange(has_engine_survived_, true);
+    if (!had_survived &&
+        (request_.fields.prompt_parts.size() > 1 || state_.crashes.has_evidence())) {
+        state_.crashes.on_answered(suspects());
     }
 }
 
@@ -659,7 +670,7 @@
     if (call_ && !attempt_has_events_) {
         record_failed_attempt(progress_.has_begun ? attempt_outcome::broken_midway
                                                   : attempt_outcome::broken);
-        last_cause_ = "crashing_prompt";
+        last_cause_ = service_->engine ? "crashing_prompt" : "crashing_request";
         apply_step(retry_policy::fallback_step(progress_, last_outcome_), last_outcome_);
     }
 }
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -36,12 +36,10 @@
     proxied_call(serving_state& state, serving_config_ptr config, const serving_route& route,
                  const serving_customer* customer, request received);
     void begin();
-    /// The parts of the call's prompt, in order.
-    [[nodiscard]] std::span<const prompt_part> prompt_parts() const {
-        return request_.fields.prompt_parts;
+    /// What may be the cause if its server crashes.
+    [[nodiscard]] crash_suspects suspects() const {
+        return {request_.fields.prompt_parts, content()};
     }
-    /// Identifies the host, path, customer and body of the call over all calls.
-    [[nodiscard]] std::uint64_t content() const;
     /// Cancels the running attempt and fails the call, unless the answer has begun.
     void stop_before_answer();
     /// The node has lost its links to the servers: ends an attempt over a connection that has been
@@ -62,6 +60,8 @@
 private:
     [[nodiscard]] bool is_stream() const { return route_.kind == call_kind::streaming; }
     [[nodiscard]] micros time_left() const;
+    /// Identifies the host, path, customer and body of the call over all calls.
+    [[nodiscard]] std::uint64_t content() const;
     void choose_service();
     [[nodiscard]] std::optional<placement_choice> choose_server();
     /// The servers of the call's service that may get a call now, within the limits they named.
@@ -79,6 +79,8 @@
     [[nodiscard]] bool choose_path();
     [[nodiscard]] bool would_miss_target(const placement_choice& choice) const;
     void try_next_server();
+    /// Ends the call if calls like it crash servers; returns whether it has.
+    [[nodiscard]] bool end_if_crashing();
     void send(const placement_choice& choice);
     /// Sends the attempt's request on the node's own connection or through a peer.
     void send_request(const std::string& bytes, const call_options& options);
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
+#include <utility>
 
 namespace jujubetide {
 namespace {
@@ -20,30 +22,65 @@
 constexpr std::size_t max_crashes = 32;
 /// Answers older than this are dropped first when there are too many parts.
 constexpr micros recent_answer{30'000'000};
+/// First character of a content's id; a caller's id with it is replaced by its hash.
+constexpr char content_mark = '=';
 /// Nodes spread their first trials over this fraction of the quarantine time.
 constexpr double trial_spread = 0.5;
 
 prompt_part_id id_of(const prompt_part& part) {
-    return part.id.size() <= max_id_length
+    return part.id.size() <= max_id_length && !part.id.starts_with(content_mark)
                ? prompt_part_id(part.id)
                : prompt_part_id(absl::StrCat("#", absl::Hex(stable_hash(part.id))));
 }
 
-std::set<prompt_part_id> shared_ids(std::span<const prompt_part> parts) {
-    std::set<prompt_part_id> ids;
-    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-        ids.insert(id_of(parts[i]));
+prompt_suspicion to_suspicion(const prompt_part_id& part,
+                              const std::optional<time_point>& answered_at,
+                              const std::map<server_run_id, time_point>& crashes, time_point now) {
+    prompt_suspicion made;
+    made.part = part;
+    if (answered_at) {
+        made.since_answer = now - *answered_at;
+    }
+    for (const auto& [run, at] : crashes) {
+        made.crashes.push_back({run, now - at});
     }
-    return ids;
+    return made;
+}
+
+/// The time for the number of crashes beyond those that led to a quarantine.
+template <std::size_t Size>
+micros time_after(const std::array<micros, Size>& times, std::size_t crashes) {
+    const std::size_t beyond = crashes - std::min(crashes, prompt_quarantine::min_crashes);
+    return times.at(std::min(beyond, Size - 1));
 }
 
 } // namespace
 
+crash_suspects::crash_suspects(const std::vector<prompt_part>& parts) {
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        ids_.insert(id_of(parts[i]));
+    }
+}
+
+crash_suspects::crash_suspects(std::span<const prompt_part> parts, std::uint64_t content)
+    : crash_suspects(std::vector<prompt_part>(parts.begin(), parts.end())) {
+    ids_.insert(prompt_part_id(std::string(1, content_mark) + absl::StrCat(absl::Hex(content))));
+}
+
+bool crash_suspects::is_content(const prompt_part_id& id) {
+    return id.str().starts_with(content_mark);
+}
+
 micros prompt_quarantine::quarantine_time(std::size_t crashes) {
-    constexpr std::array<micros, 3> times{std::chrono::seconds(30), std::chrono::minutes(2),
-                                          std::chrono::minutes(10)};
-    const std::size_t beyond = crashes - std::min(crashes, min_crashes);
-    return times.at(std::min(beyond, times.size() - 1));
+    static constexpr std::array<micros, 3> times{std::chrono::seconds(30), std::chrono::minutes(2),
+                                                 std::chrono::minutes(10)};
+    return time_after(times, crashes);
+}
+
+micros prompt_quarantine::content_quarantine_time(std::size_t crashes) {
+    static constexpr std::array<micros, 3> times{std::chrono::seconds(30), std::chrono::minutes(10),
+                                                 std::chrono::hours(1)};
+    return time_after(times, crashes);
 }
 
 std::size_t prompt_quarantine::count_separate(const record& of) {
@@ -99,14 +136,20 @@
     for (const auto& [run, at] : of.crashes) {
         last = std::max(last, at);
     }
-    const std::chrono::duration<double, std::micro> time = quarantine_time(count_separate(of));
+    const std::size_t crashes = count_separate(of);
+    const std::chrono::duration<double, std::micro> time = crash_suspects::is_content(part)
+                                                               ? content_quarantine_time(crashes)
+                                                               : quarantine_time(crashes);
     const micros delay =
         std::chrono::duration_cast<micros>(time * (1.0 + trial_spread * of.trial_offset));
     of.next_trial = std::max(of.next_trial, last + delay);
 }
 
-void prompt_quarantine::on_answered(std::span<const prompt_part> parts, time_point now) {
-    for (const prompt_part_id& part : shared_ids(parts)) {
+void prompt_quarantine::on_answered(const crash_suspects& suspects, time_point now) {
+    for (const prompt_part_id& part : suspects.ids()) {
+        if (crash_suspects::is_content(part) && !records_.contains(part)) {
+            continue;
+        }
         record& of = insert(part, now);
         of.answered_at = now;
         if (!of.crashes.empty()) {
@@ -117,10 +160,10 @@
     }
 }
 
-bool prompt_quarantine::on_crash(const server_run_id& run, std::span<const prompt_part> parts,
+bool prompt_quarantine::on_crash(const server_run_id& run, const crash_suspects& suspects,
                                  time_point now) {
     bool concerns_unanswered = false;
-    for (const prompt_part_id& part : shared_ids(parts)) {
+    for (const prompt_part_id& part : suspects.ids()) {
         record& of = insert(part, now);
         if (of.crashes.size() >= max_crashes || !of.crashes.emplace(run, now).second) {
             continue;
@@ -133,13 +176,12 @@
 }
 
 std::vector<prompt_part_id>
-prompt_quarantine::blocking_parts(std::span<const prompt_part> parts) const {
+prompt_quarantine::blocking_parts(const crash_suspects& suspects) const {
     if (quarantined_.empty()) {
         return {};
     }
     std::vector<prompt_part_id> blocking;
-    const std::set<prompt_part_id> own = shared_ids(parts);
-    for (const prompt_part_id& part : own) {
+    for (const prompt_part_id& part : suspects.ids()) {
         if (!quarantined_.contains(part)) {
             continue;
         }
@@ -148,7 +190,7 @@
         const bool has_other_cause =
             std::any_of(quarantined_.begin(), quarantined_.end(), [&](const prompt_part_id& other) {
                 const record& of_other = records_.at(other);
-                return !own.contains(other) &&
+                return !suspects.contains(other) &&
                        std::all_of(of.crashes.begin(), of.crashes.end(), [&](const auto& crash) {
                            return of_other.crashes.contains(crash.first);
                        });
@@ -160,12 +202,12 @@
     return blocking;
 }
 
-bool prompt_quarantine::is_blocked(std::span<const prompt_part> parts) const {
-    return !blocking_parts(parts).empty();
+bool prompt_quarantine::is_blocked(const crash_suspects& suspects) const {
+    return !blocking_parts(suspects).empty();
 }
 
-std::optional<micros> prompt_quarantine::admit(std::span<const prompt_part> parts, time_point now) {
-    const std::vector<prompt_part_id> blocking = blocking_parts(parts);
+std::optional<micros> prompt_quarantine::admit(const crash_suspects& suspects, time_point now) {
+    const std::vector<prompt_part_id> blocking = blocking_parts(suspects);
     micros wait{0};
     for (const prompt_part_id& part : blocking) {
         wait = std::max(wait, records_.at(part).next_trial - now);
@@ -181,33 +223,43 @@
 
 std::vector<prompt_suspicion> prompt_quarantine::suspicions(time_point now) const {
     std::vector<prompt_suspicion> list;
-    const auto add = [&](const prompt_part_id& part, const record& of) {
-        prompt_suspicion made;
-        made.part = part;
-        if (of.answered_at) {
-            made.since_answer = now - *of.answered_at;
-        }
-        for (const auto& [run, at] : of.crashes) {
-            made.crashes.push_back({run, now - at});
-        }
-        list.push_back(std::move(made));
-    };
     for (const prompt_part_id& part : quarantined_) {
         if (list.size() < max_reported) {
-            add(part, records_.at(part));
+            const record& of = records_.at(part);
+            list.push_back(to_suspicion(part, of.answered_at, of.crashes, now));
         }
     }
     for (const auto& [part, of] : records_) {
         if (list.size() >= max_reported) {
             break;
         }
-        if (now < of.reported_until && !quarantined_.contains(part)) {
-            add(part, of);
+        if (now < of.reported_until && !quarantined_.contains(part) &&
+            !crash_suspects::is_content(part)) {
+            list.push_back(to_suspicion(part, of.answered_at, of.crashes, now));
         }
     }
+    add_recent_contents(list, now);
     return list;
 }
 
+void prompt_quarantine::add_recent_contents(std::vector<prompt_suspicion>& list,
+                                            time_point now) const {
+    // The loss of one server makes as many of these as calls waited there.
+    std::vector<prompt_suspicion> contents;
+    for (const auto& [part, of] : records_) {
+        if (now < of.reported_until && !quarantined_.contains(part) &&
+            crash_suspects::is_content(part)) {
+            contents.push_back(to_suspicion(part, of.answered_at, of.crashes, now));
+        }
+    }
+    std::sort(contents.begin(), contents.end(), [](const auto& one, const auto& other) {
+        return std::pair(other.crashes.size(), one.part) <
+               std::pair(one.crashes.size(), other.part);
+    });
+    contents.resize(std::min(contents.size(), max_reported));
+    std::move(contents.begin(), contents.end(), std::back_inserter(list));
+}
+
 void prompt_quarantine::on_peer_suspicions(std::span<const prompt_suspicion> suspicions,
                                            time_point now) {
     for (const prompt_suspicion& reported : suspicions) {
@@ -234,8 +286,11 @@
 
 void prompt_quarantine::expire(time_point now) {
     for (auto& [part, of] : records_) {
+        const bool is_blocked_content =
+            crash_suspects::is_content(part) && quarantined_.contains(part);
+        const micros lifetime = is_blocked_content ? content_evidence_lifetime : evidence_lifetime;
         std::erase_if(of.crashes,
-                      [now](const auto& crash) { return now - crash.second > evidence_lifetime; });
+                      [now, lifetime](const auto& crash) { return now - crash.second > lifetime; });
         if (!is_guilty(of)) {
             quarantined_.erase(part);
         }
--- a/tests/node/garbage_answers_test.cc
+++ b/tests/node/garbage_answers_test.cc
@@ -37,6 +37,9 @@
             : owner(server), connection(std::move(accepted)) {
             connection->set_events(*this);
         }
+        ~session() override { connection->close(); }
+        session(const session&) = delete;
+        session& operator=(const session&) = delete;
         void do_data(std::string_view) override {
             if (!timer) {
                 connection->write(owner.first_);
--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace jujubetide;
 
 namespace {
@@ -183,3 +185,75 @@
     CHECK_FALSE(fixture.quarantine.is_blocked(prompt({base + "2", "own"})));
     CHECK(fixture.quarantine.quarantined().begin()->str().size() < 64);
 }
+
+TEST_CASE("a call's content that crashes servers is blocked, and no other content") {
+    quarantine_fixture fixture;
+    const crash_suspects crashing({}, 77);
+    const crash_suspects other({}, 78);
+    fixture.quarantine.on_crash(run(1), crashing, at(0));
+    CHECK_FALSE(fixture.quarantine.is_blocked(crashing));
+    fixture.quarantine.on_crash(run(2), crashing, at(1'000));
+    CHECK(fixture.quarantine.is_blocked(crashing));
+    CHECK_FALSE(fixture.quarantine.is_blocked(other));
+    CHECK(fixture.quarantine.admit(crashing, at(2'000)).has_value());
+    fixture.quarantine.on_answered(crashing, at(3'000));
+    CHECK_FALSE(fixture.quarantine.is_blocked(crashing));
+}
+
+TEST_CASE("a content that crashes servers does not block sound calls with the same prompt parts") {
+    quarantine_fixture fixture;
+    const crash_suspects crashing(bad, 77);
+    fixture.quarantine.on_crash(run(1), crashing, at(0));
+    fixture.quarantine.on_crash(run(2), crashing, at(1'000));
+    CHECK(fixture.quarantine.is_blocked(crashing));
+    CHECK_FALSE(fixture.quarantine.is_blocked(crash_suspects(bad, 78)));
+}
+
+TEST_CASE("answers to contents without evidence are not remembered") {
+    quarantine_fixture fixture;
+    for (std::uint64_t content = 0; content < 10'000; ++content) {
+        fixture.quarantine.on_answered(crash_suspects({}, content), at(0));
+    }
+    CHECK_FALSE(fixture.quarantine.has_records());
+}
+
+TEST_CASE("a content that crashes servers in each trial gets three trials in two hours") {
+    quarantine_fixture fixture;
+    const crash_suspects crashing({}, 77);
+    fixture.quarantine.on_crash(run(1), crashing, at(0));
+    fixture.quarantine.on_crash(run(2), crashing, at(500));
+    int trials = 0;
+    for (int ms = 1'000; ms < 2 * 3'600'000; ms += 500) {
+        fixture.quarantine.expire(at(ms));
+        if (!fixture.quarantine.admit(crashing, at(ms))) {
+            fixture.quarantine.on_crash(run(3 + trials++), crashing, at(ms));
+        }
+    }
+    CHECK(trials >= 2);
+    CHECK(trials <= 3);
+}
+
+TEST_CASE("a caller's prompt part cannot stand for the content of a call") {
+    const crash_suspects content({}, 0x77);
+    REQUIRE(content.ids().size() == 1);
+    const crash_suspects parts(prompt({content.ids().begin()->str(), "own"}));
+    REQUIRE(parts.ids().size() == 1);
+    CHECK_FALSE(crash_suspects::is_content(*parts.ids().begin()));
+}
+
+TEST_CASE("many calls that waited at one crashed server do not keep a crashing part from peers") {
+    quarantine_fixture fixture;
+    for (std::uint64_t content = 1; content <= 200; ++content) {
+        fixture.quarantine.on_crash(run(1), crash_suspects({}, content), at(0));
+    }
+    fixture.quarantine.on_crash(run(2), crash_suspects({}, 7), at(100));
+    fixture.quarantine.on_crash(run(2), bad, at(100));
+    const auto reported = fixture.quarantine.suspicions(at(200));
+    CHECK(reported.size() < 100);
+    const auto has = [&](const prompt_part_id& id) {
+        return std::any_of(reported.begin(), reported.end(),
+                           [&](const auto& one) { return one.part == id; });
+    };
+    CHECK(has(prompt_part_id("bad")));
+    CHECK(has(*crash_suspects({}, 7).ids().begin()));
+}
--- a/tests/support/ending_server.h
+++ b/tests/support/ending_server.h
@@ -4,6 +4,7 @@
 #include "jujubetide/net/tcp_acceptor.h"
 #include "jujubetide/net/tcp_connection.h"
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -29,6 +30,12 @@
     [[nodiscard]] const endpoint& address() const { return acceptor_->address(); }
     /// Connections since the last `answer_with`.
     [[nodiscard]] std::size_t connections() const { return sessions_.size(); }
+    /// Those of them on which something was sent.
+    [[nodiscard]] std::size_t requests() const {
+        return static_cast<std::size_t>(
+            std::count_if(sessions_.begin(), sessions_.end(),
+                          [](const auto& one) { return one->timer != nullptr; }));
+    }
 
 private:
     struct session final : connection_events {
