LOST: an odd registration of another writer ends no node

Seen by operators of similar systems: an entry among those of the engines that is very deeply nested, has a number too large or a port out of range ends the machines that read the list, again and again. Here: a registration whose coldRemainingMs is nested 200,000 levels deep ends the node (SIGSEGV: copies of a JSON value recurse); as each restart reads it again, all nodes would end again and again. Numbers out of range were converted with undefined results. A port out of range was rejected before.

--- a/tests/adapter/row_codec_test.cc
+++ b/tests/adapter/row_codec_test.cc
@@ -80,3 +80,34 @@
     CHECK_FALSE(decode_with("\"zone\":\"z1\",", "").ok());
     CHECK_FALSE(codec.registration(id, "\x80\x81").ok());
 }
+
+TEST_CASE("an odd registration of another writer is rejected and crashes nothing") {
+    const std::string sound = R"("service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+                              R"("state":"ready")";
+    constexpr int depth = 200'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    const std::vector<std::string> odd{
+        "{" + sound + R"(,"slots":8,"coldRemainingMs":)" + nested + "}",
+        "{" + sound + R"(,"slots":)" + nested + "}",
+        nested,
+        std::string(depth, '['),
+        "{" + sound + R"(,"slots":1e300})",
+        "{" + sound + R"(,"slots":1e999})",
+        "{" + sound + R"(,"slots":-1})",
+        "{" + sound + R"(,"slots":2.5})",
+        "{" + sound + R"(,"slots":0})",
+        "{" + sound + R"(,"slots":8,"coldRemainingMs":1e300})",
+        "{" + sound + R"(,"slots":8,"born":1e300})",
+        "{" + sound + R"(,"slots":8,"born":"now"})",
+        R"({"service":"s","address":"10.0.0.1:70000","zone":"z","version":"v1","state":"ready","slots":8})",
+        R"({"service":"s","address":"10.0.0.1:-1","zone":"z","version":"v1","state":"ready","slots":8})",
+        R"({"service":"s","address":"10.0.0.999:80","zone":"z","version":"v1","state":"ready","slots":8})",
+    };
+    const platform::row_codec codec;
+    for (const std::string& row : odd) {
+        INFO(row.substr(0, 120));
+        CHECK_FALSE(codec.registration(backend_server_id("i-1"), row).ok());
+        CHECK_FALSE(codec.order(row).ok());
+    }
+    CHECK(codec.registration(backend_server_id("i-1"), "{" + sound + R"(,"slots":8})").ok());
+}
