--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -438,6 +438,11 @@
     read_server_limit();
     read_brittleness();
     apply_leaving_notice(state_, server_, response_fields_);
+    if (progress_.has_begun && !response_fields_.not_run && head.status != begun_status_) {
+        // The caller has the head of a stream; nothing of this answer may follow it.
+        on_attempt_failed(attempt_outcome::error_answer);
+        return true;
+    }
     if (success &&
         (!is_for_this_call || !response_fields_.is_signed || response_fields_.is_encoded)) {
         on_attempt_failed(attempt_outcome::broken);
@@ -547,6 +552,7 @@
 
 void proxied_call::begin_stream_response() {
     progress_.has_begun = true;
+    begun_status_ = response_head_.status;
     request_.exchange->begin(response_head_.status, state_.codec.caller_headers(response_head_),
                              body_framing::chunked, 0);
 }
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -146,6 +146,8 @@
     response_head response_head_;
     response_fields response_fields_;
     bool has_response_head_ = false;
+    /// The status of the stream that the caller receives; 0 before it has begun.
+    int begun_status_ = 0;
     bool attempt_has_events_ = false;
     bool has_engine_survived_ = false;
     /// Waits to learn whether the server of the last attempt has crashed.
--- a/tests/node/node_streams_test.cc
+++ b/tests/node/node_streams_test.cc
@@ -22,6 +22,16 @@
     return text;
 }
 
+/// All bytes that a connection receives.
+struct raw_bytes final : connection_events {
+    void do_connected() override {}
+    void do_data(std::string_view more) override { bytes += more; }
+    void do_end(connection_end) override { has_ended = true; }
+
+    std::string bytes;
+    bool has_ended = false;
+};
+
 } // namespace
 
 TEST_CASE("events are forwarded as they arrive") {
@@ -142,6 +152,32 @@
     CHECK(run_until(fixture.loop, [&] { return stalled.calls()[0]->caller_gone; }));
 }
 
+TEST_CASE("an error of the server that resumes a stream does not get into the stream") {
+    node_fixture fixture;
+    const int status = GENERATE(204, 302, 400, 404, 409, 500, 503);
+    INFO("status " << status);
+    fixture.start();
+    const auto script = [status](scripted_call& call) {
+        if (call.head.headers.has("Last-Event-Id")) {
+            answer(call, status, status == 204 ? "" : "the error's text");
+        } else {
+            send_events(call, 1, 2);
+            call.exchange->abort();
+        }
+    };
+    fixture.add_server("i-1", "model", script);
+    fixture.add_server("i-2", "model", script);
+    raw_bytes received;
+    const auto connection =
+        tcp_connection::connect(fixture.loop, fixture.tested->caller_endpoint(), received);
+    connection->write(request_of_test("/resumed/", {}));
+    REQUIRE(run_until(fixture.loop, [&] { return received.has_ended; }));
+    CHECK(received.bytes.find("id: 2") != std::string::npos);
+    CHECK(received.bytes.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(received.bytes.find("error") == std::string::npos);
+    CHECK(received.bytes.find("\r\n0\r\n") == std::string::npos); // The end of a whole answer.
+}
+
 TEST_CASE("usage counts a stream once, however often it was resumed") {
     node_fixture fixture;
     fixture.start();
