The era of the platform's store is decoded, logged and counted

No logic changes here.

New: log event JT7064 `store_restored`, gauge `jujubetide_node{field="store_era"}`.

The tests' store has eras: take_copy(), restore(), 410 for versions that it does not have; its HTTP front names the era and tells 410, 412 and 503 apart (all failed commits were 412 before).

--- a/include/jujubetide/store/row_store.h
+++ b/include/jujubetide/store/row_store.h
@@ -2,6 +2,7 @@
 
 #include "jujubetide/base/ids.h"
 #include "jujubetide/base/units.h"
+#include "jujubetide/store/store_era.h"
 
 #include <absl/status/statusor.h>
 
@@ -25,6 +26,9 @@
     row_version version;
     /// More rows follow after the key of the last one.
     bool has_more = false;
+    store_era era;
+
+    [[nodiscard]] store_position position() const { return {era, version}; }
 };
 
 /// Precondition that the row has exactly `version`; version 0 means that the row does not exist.
@@ -66,6 +70,9 @@
     using commit_handler = std::function<void(absl::StatusOr<row_version>)>;
 
     virtual ~row_store() = default;
+    /// The newest era that the store has named in an answer. It is up to date when the handler of
+    /// that answer's call runs.
+    [[nodiscard]] store_era era() const { return do_era(); }
     /// Reads the rows of a table whose keys are `first_key` or greater.
     void read(const std::string& table, const std::string& first_key, batch_handler handler) {
         do_read(table, first_key, std::move(handler));
@@ -84,6 +91,7 @@
     row_store() = default;
     row_store(const row_store&) = default;
     row_store& operator=(const row_store&) = default;
+    [[nodiscard]] virtual store_era do_era() const = 0;
     virtual void do_read(const std::string& table, const std::string& first_key,
                          batch_handler handler) = 0;
     virtual void do_changes(const std::string& table, row_version after, millis wait,
--- a/src/node/instrumented_row_store.cc
+++ b/src/node/instrumented_row_store.cc
@@ -1,5 +1,7 @@
 #include "node/instrumented_row_store.h"
 
+#include "node/node_events.h"
+
 #include <utility>
 
 namespace jujubetide {
@@ -22,32 +24,40 @@
     }
 }
 
+} // namespace
+
 template <class Result>
-std::function<void(Result)> with_outcome_count(serving_metrics& metrics, const char* kind,
-                                               const std::string& table,
-                                               std::function<void(Result)> handler) {
-    return [&metrics, kind, table, handler = std::move(handler)](Result result) {
-        metrics.on_store_call(kind, table, outcome_label(result.status()));
+std::function<void(Result)>
+instrumented_row_store::instrumented(const char* kind, const std::string& table,
+                                     std::function<void(Result)> handler) {
+    return [this, kind, table, handler = std::move(handler)](Result result) {
+        metrics_.on_store_call(kind, table, outcome_label(result.status()));
+        log_restore();
         handler(std::move(result));
     };
 }
 
-} // namespace
+void instrumented_row_store::log_restore() {
+    const store_era before = std::exchange(known_era_, store_.era());
+    if (before != known_era_ && before != store_era()) {
+        log_.write(store_restored, {{"era", std::to_string(known_era_.value())},
+                                    {"before", std::to_string(before.value())}});
+    }
+}
 
 void instrumented_row_store::do_read(const std::string& table, const std::string& from,
                                      batch_handler handler) {
-    store_.read(table, from, with_outcome_count(metrics_, "read", table, std::move(handler)));
+    store_.read(table, from, instrumented("read", table, std::move(handler)));
 }
 
 void instrumented_row_store::do_changes(const std::string& table, row_version after, millis wait,
                                         batch_handler handler) {
-    store_.changes(table, after, wait,
-                   with_outcome_count(metrics_, "changes", table, std::move(handler)));
+    store_.changes(table, after, wait, instrumented("changes", table, std::move(handler)));
 }
 
 void instrumented_row_store::do_commit(const row_transaction& transaction, commit_handler handler) {
     const std::string table = transaction.puts.empty() ? "" : transaction.puts.front().table;
-    store_.commit(transaction, with_outcome_count(metrics_, "commit", table, std::move(handler)));
+    store_.commit(transaction, instrumented("commit", table, std::move(handler)));
 }
 
 } // namespace jujubetide
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -73,7 +73,7 @@
     components(const node_settings& settings, const node_dependencies& dependencies)
         : state(settings, dependencies.loop, dependencies.loop, dependencies.time, dependencies.log,
                 dependencies.random, dependencies.codec),
-          store(dependencies.store, state.metrics),
+          store(dependencies.store, state.metrics, dependencies.log),
           configs(state, dependencies.decoder, dependencies.tables, [this] { on_config(); }),
           registrations(state, dependencies.decoder, dependencies.tables),
           config_follower(store, dependencies.loop, dependencies.time, dependencies.random,
@@ -308,6 +308,7 @@
     now.brittle_servers = state.brittle.count();
     now.server_links_lost = state.links.are_lost();
     now.leaving_servers = state.backends.notices().count();
+    now.era = components_->store.era();
     return state.metrics.text(now);
 }
 
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -50,6 +50,7 @@
 inline constexpr log_event move_ordered{7061, log_severity::info, "move_ordered"};
 inline constexpr log_event move_order_rejected{7062, log_severity::warning, "move_order_rejected"};
 inline constexpr log_event version_stopped{7063, log_severity::warning, "version_stopped"};
+inline constexpr log_event store_restored{7064, log_severity::warning, "store_restored"};
 inline constexpr log_event peer_found{7040, log_severity::info, "peer_found"};
 inline constexpr log_event peer_lost{7041, log_severity::warning, "peer_lost"};
 inline constexpr log_event peer_message_rejected{7042, log_severity::warning,
--- a/src/node/serving_metrics.cc
+++ b/src/node/serving_metrics.cc
@@ -109,6 +109,7 @@
     set("quarantined_parts", static_cast<double>(now.quarantined_parts));
     set("limited_servers", static_cast<double>(now.limited_servers));
     set("leaving_servers", static_cast<double>(now.leaving_servers));
+    set("store_era", static_cast<double>(now.era.value()));
     set("brittle_servers", static_cast<double>(now.brittle_servers));
     set("server_links_lost", now.server_links_lost ? 1.0 : 0.0);
     return prometheus::TextSerializer().Serialize(registry_.Collect());
--- a/src/node/serving_metrics.h
+++ b/src/node/serving_metrics.h
@@ -2,6 +2,7 @@
 
 #include "jujubetide/base/ids.h"
 #include "jujubetide/base/units.h"
+#include "jujubetide/store/store_era.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -57,6 +58,8 @@
         bool server_links_lost = false;
         /// Servers that say in answers that they leave.
         std::size_t leaving_servers = 0;
+        /// The newest era that the store has named.
+        jujubetide::store_era era;
     };
     /// All metrics in the Prometheus text format.
     [[nodiscard]] std::string text(const snapshot& now);
--- a/tests/node/cluster_member.h
+++ b/tests/node/cluster_member.h
@@ -22,6 +22,7 @@
     [[nodiscard]] int change_calls() const { return change_calls_; }
 
 protected:
+    [[nodiscard]] store_era do_era() const override { return era_; }
     void do_read(const std::string& table, const std::string& from,
                  batch_handler handler) override {
         if (open_) {
@@ -50,8 +51,9 @@
 private:
     template <class Result>
     std::function<void(Result)> while_alive(std::function<void(Result)> handler) {
-        return [handler = std::move(handler), alive = std::weak_ptr(alive_)](Result result) {
+        return [this, handler = std::move(handler), alive = std::weak_ptr(alive_)](Result result) {
             if (!alive.expired()) {
+                era_ = store_.era();
                 handler(std::move(result));
             }
         };
@@ -77,6 +79,7 @@
     event_loop& loop_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     bool open_ = true;
+    store_era era_;
     std::string rewritten_table_;
     std::function<std::string(const std::string&)> rewrite_;
     int change_calls_ = 0;
--- a/tests/support/fake_row_store.h
+++ b/tests/support/fake_row_store.h
@@ -5,6 +5,7 @@
 
 #include <absl/status/status.h>
 
+#include <algorithm>
 #include <list>
 #include <map>
 #include <memory>
@@ -32,6 +33,23 @@
     /// Commits are applied, but their answers are lost.
     void set_lose_answers(bool lose) { lose_answers_ = lose; }
     void forget_history() { history_from_ = version_; }
+    /// Keeps a copy of all rows, for `restore`.
+    void take_copy() { copy_ = {tables_, changes_, version_}; }
+    /// Goes back to the copy, in a new era. Calls that wait are cut off.
+    void restore() {
+        const absl::Status failure = std::exchange(failure_, absl::OkStatus());
+        set_failure(absl::DeadlineExceededError("the connection was closed"));
+        failure_ = failure;
+        tables_ = copy_.tables;
+        changes_ = copy_.changes;
+        version_ = copy_.version;
+        era_ = era_.next();
+    }
+    /// Whether calls wait for changes of the table.
+    [[nodiscard]] bool is_followed(const std::string& table) const {
+        return std::any_of(waiting_.begin(), waiting_.end(),
+                           [&](const waiting_call& call) { return call.table == table; });
+    }
 
     void put(const std::string& table, const std::string& key, const std::string& value) {
         row_transaction transaction;
@@ -53,6 +71,7 @@
     int commits = 0;
 
 protected:
+    [[nodiscard]] store_era do_era() const override { return answered_era_; }
     void do_read(const std::string& table, const std::string& from,
                  batch_handler handler) override {
         ++reads;
@@ -60,8 +79,7 @@
             answer([handler, failed = failure_] { handler(failed); });
             return;
         }
-        row_batch batch;
-        batch.version = row_version(version_);
+        row_batch batch = empty_batch();
         for (const auto& [key, row] : tables_[table]) {
             if (key >= from) {
                 batch.rows.push_back(row);
@@ -77,7 +95,7 @@
             answer([handler, failed = failure_] { handler(failed); });
             return;
         }
-        if (after.value() < history_from_) {
+        if (after.value() < history_from_ || after.value() > version_) {
             answer([handler] { handler(absl::OutOfRangeError("history is gone")); });
             return;
         }
@@ -127,12 +145,27 @@
         stored_row row;
     };
 
+    struct copy {
+        std::map<std::string, std::map<std::string, stored_row>> tables;
+        std::vector<change> changes;
+        std::uint64_t version = 0;
+    };
+
     void answer(std::function<void()> function) {
-        timers_running_.push_back(timers_.once(millis{1}, std::move(function)));
+        timers_running_.push_back(
+            timers_.once(millis{1}, [this, era = era_, function = std::move(function)] {
+                answered_era_ = std::max(answered_era_, era);
+                function();
+            }));
     }
-    row_batch changes_after(const std::string& table, row_version after) {
+    [[nodiscard]] row_batch empty_batch() const {
         row_batch batch;
         batch.version = row_version(version_);
+        batch.era = era_;
+        return batch;
+    }
+    row_batch changes_after(const std::string& table, row_version after) {
+        row_batch batch = empty_batch();
         for (const change& one : changes_) {
             if (one.table == table && one.row.version > after) {
                 batch.rows.push_back(one.row);
@@ -165,8 +198,7 @@
     void end_wait(std::uint64_t number) {
         for (auto call = waiting_.begin(); call != waiting_.end(); ++call) {
             if (call->number == number) {
-                row_batch batch;
-                batch.version = row_version(version_);
+                const row_batch batch = empty_batch();
                 const batch_handler handler = call->handler;
                 waiting_.erase(call);
                 handler(batch);
@@ -185,6 +217,10 @@
     std::uint64_t version_ = 0;
     std::uint64_t history_from_ = 0;
     std::uint64_t next_call_ = 0;
+    store_era era_{1};
+    /// The newest era that an answer has named.
+    store_era answered_era_;
+    copy copy_;
 };
 
 } // namespace jujubetide
--- a/tests/support/row_store_server.cc
+++ b/tests/support/row_store_server.cc
@@ -14,7 +14,9 @@
 
 constexpr int ok_status = 200;
 constexpr int bad_request_status = 400;
+constexpr int gone_status = 410;
 constexpr int precondition_failed_status = 412;
+constexpr int no_answer_status = 500;
 constexpr int unavailable_status = 503;
 
 /// The parameters of a request's query. The names and keys of tests need no decoding.
@@ -29,15 +31,30 @@
     return query;
 }
 
-void respond(http1_exchange& exchange, int status, const json& body) {
+int status_of(const absl::Status& failure) {
+    switch (failure.code()) {
+    case absl::StatusCode::kOutOfRange:
+        return gone_status;
+    case absl::StatusCode::kAborted:
+        return precondition_failed_status;
+    case absl::StatusCode::kUnavailable:
+        return unavailable_status;
+    default:
+        return no_answer_status;
+    }
+}
+
+void respond(http1_exchange& exchange, store_era era, int status, const json& body) {
     header_list headers;
     headers.add("Content-Type", "application/json");
+    headers.add("Store-Era", std::to_string(era.value()));
     exchange.respond(status, headers, body.dump());
 }
 
-void respond_with_rows(http1_exchange& exchange, const absl::StatusOr<row_batch>& batch) {
+void respond_with_rows(http1_exchange& exchange, store_era era,
+                       const absl::StatusOr<row_batch>& batch) {
     if (!batch.ok()) {
-        respond(exchange, unavailable_status, json::object());
+        respond(exchange, era, status_of(batch.status()), json::object());
         return;
     }
     json rows = json::array();
@@ -48,7 +65,7 @@
                         {"ver", row.version.value()},
                         {"deleted", row.removed}});
     }
-    respond(exchange, ok_status,
+    respond(exchange, era, ok_status,
             {{"ver", batch->version.value()}, {"rows", rows}, {"morePages", batch->has_more}});
 }
 
@@ -61,8 +78,8 @@
 row_store_server::do_request(request_head head, std::string body, time_point,
                              std::shared_ptr<http1_exchange> exchange) {
     auto query = query_of(head.target);
-    const auto answer = [exchange](const absl::StatusOr<row_batch>& batch) {
-        respond_with_rows(*exchange, batch);
+    const auto answer = [this, exchange](const absl::StatusOr<row_batch>& batch) {
+        respond_with_rows(*exchange, store_.era(), batch);
     };
     if (absl::StartsWith(head.target, "/v1/rows-get?")) {
         store_.read(query["table"], query["from"], answer);
@@ -72,7 +89,7 @@
     } else if (head.target == "/v1/rows-tx") {
         commit(body, exchange);
     } else {
-        respond(*exchange, bad_request_status, json::object());
+        respond(*exchange, store_.era(), bad_request_status, json::object());
     }
     return nullptr;
 }
@@ -93,11 +110,12 @@
     for (const json& row : document.at("remove")) {
         transaction.removals.push_back({row.at("table"), row.at("key")});
     }
-    store_.commit(transaction, [exchange](const absl::StatusOr<row_version>& version) {
+    store_.commit(transaction, [this, exchange](const absl::StatusOr<row_version>& version) {
         if (version.ok()) {
-            respond(*exchange, ok_status, {{"ver", version->value()}});
+            respond(*exchange, store_.era(), ok_status, {{"ver", version->value()}});
         } else {
-            respond(*exchange, precondition_failed_status, {{"rows", json::array()}});
+            respond(*exchange, store_.era(), status_of(version.status()),
+                    {{"rows", json::array()}});
         }
     });
 }
