ONE: a generation number is not given out again after a restore of the store

Cause: a number was one more than the number in the lease's row, and nothing else kept it. A restore takes the row back to a copy from before the last hand-over, and the next holder counts from there.

Change: numbers of a later era of the store are greater than all of the eras before (the era is in the upper bits), and the highest one of an era is kept in a row of that era: a take expects and writes both rows. So a number does not depend on a row that a restore can take back, and a late conditional write of a host that does not know of the restore, which may succeed because versions are given out again, cannot set the number back. A write whose answer names a later era than its read does not count.

The same restore could give the duties to two hosts at once, as the holder's row is gone: the holder takes the lease anew while it still has it (JT7065 `duty_retaken`), all others, also one that starts then, wait for the end of a lease that may have been renewed just before.

Related paths looked at: renewals and releases that meet the restored row, lost replies (dropped at a restore), a start amid it, a second restore. The control programs' leases are kept on another table interface without eras and were left.

--- a/include/jujubetide/lease/lease_state.h
+++ b/include/jujubetide/lease/lease_state.h
@@ -48,8 +48,10 @@
     /// The row's version that the write depends on.
     row_version expected;
     time_point sent;
-    /// Whether the write changes the holder.
+    /// Whether the write takes the lease, with a new fencing number.
     bool takes = false;
+    /// Whether nobody can have held the lease before.
+    bool is_first = false;
 };
 
 /// What one process may do under a lease, and when. Without I/O; the callers pass the time in. Not
@@ -69,8 +71,9 @@
     /// Takes in the row, or its absence, from a read that ended at `read_end`.
     void observe(const std::optional<lease_row>& row, time_point read_end);
 
-    /// The write to send now, or nothing while another holder's lease may last.
-    [[nodiscard]] std::optional<lease_write> next_write(time_point now);
+    /// The write to send now, or nothing while another holder's lease may last. A write that takes
+    /// the lease has a fencing number of at least `lowest`.
+    [[nodiscard]] std::optional<lease_write> next_write(time_point now, fencing_number lowest = {});
     /// The write took effect as `version`; `now` is the time at which that became known.
     void write_applied(const lease_write& write, row_version version, time_point now);
     /// The row has changed; the write had no effect.
@@ -78,6 +81,13 @@
     /// The reply was lost; the write may have taken effect, or may later.
     void write_unknown(const lease_write& write);
 
+    /// The table went back to an older copy, in which the row of the holder may be missing. The
+    /// holder takes the lease anew while its own still lasts; all others wait for the end of a
+    /// lease that was renewed just before. Writes without a reply are not settled any more.
+    void table_restored(time_point now);
+    /// Held, and to be taken anew after a restore.
+    [[nodiscard]] bool must_retake() const { return holds_ && must_retake_; }
+
     /// Gives the lease up and returns the write that tells others, or nothing when not held.
     [[nodiscard]] std::optional<lease_write> release(time_point now);
     /// Another holder's fencing number was met.
@@ -96,6 +106,8 @@
     [[nodiscard]] lease_write make_write(std::string holder, fencing_number fencing,
                                          time_point now);
     [[nodiscard]] bool is_own(const lease_record& record) const;
+    /// Whether another holder's lease may last, by the row or by one that a restore removed.
+    [[nodiscard]] bool may_be_held(time_point now) const;
 
     lease_options options_;
     bool needs_read_ = true;
@@ -107,7 +119,13 @@
     std::uint64_t write_count_ = 0;
     bool holds_ = false;
     fencing_number fencing_;
+    /// The holder's row may be gone from the table since a restore.
+    bool must_retake_ = false;
+    /// The lease of a holder whose row a restore removed has ended by then.
+    time_point unknown_holder_until_{};
+    bool was_restored_ = false;
     time_point taken_{};
+    bool has_predecessor_ = false;
     time_point safe_until_{};
 };
 
--- a/src/lease/lease_state.cc
+++ b/src/lease/lease_state.cc
@@ -14,8 +14,6 @@
 
 /// Lost writes that are remembered; older ones can no longer lengthen the lease.
 constexpr std::size_t max_unknown_writes = 16;
-/// The fencing number of a lease that nobody held before.
-constexpr fencing_number first_fencing{1};
 
 } // namespace
 
@@ -33,36 +31,58 @@
         [&record](const lease_write& write) { return write.record.write == record.write; });
     if (applied != unknown_writes_.end()) {
         write_applied(lease_write(*applied), version, read_end);
-    } else if (holds_ && (!is_own(record) || record.fencing != fencing_)) {
+    } else if (holds_ && !must_retake_ && (!is_own(record) || record.fencing != fencing_)) {
         holds_ = false;
     }
 }
 
-std::optional<lease_write> lease_state::next_write(time_point now) {
+std::optional<lease_write> lease_state::next_write(time_point now, fencing_number lowest) {
     if (needs_read_) {
         return std::nullopt;
     }
+    if (must_retake_ && !held(now)) {
+        holds_ = must_retake_ = false;
+    }
     const lease_record& record = seen_->record;
-    if (holds_) {
+    if (holds_ && !must_retake_) {
         return make_write(options_.holder, fencing_, now);
     }
-    const millis lasts = std::max(record.duration, options_.duration);
-    if (!record.holder.empty() && now < seen_since_ + lasts) {
+    if (!must_retake_ && may_be_held(now)) {
         return std::nullopt;
     }
-    lease_write write = make_write(options_.holder, record.fencing.next(), now);
+    lease_write write = make_write(options_.holder, std::max(record.fencing.next(), lowest), now);
     write.takes = true;
+    write.is_first = seen_->version == row_version() && !was_restored_;
     return write;
 }
 
+bool lease_state::may_be_held(time_point now) const {
+    const lease_record& record = seen_->record;
+    const millis lasts = std::max(record.duration, options_.duration);
+    return now < unknown_holder_until_ || (!record.holder.empty() && now < seen_since_ + lasts);
+}
+
+void lease_state::table_restored(time_point now) {
+    // A write may have been applied before the restore, and its row be gone.
+    unknown_writes_.clear();
+    seen_.reset();
+    needs_read_ = true;
+    was_restored_ = true;
+    must_retake_ = holds_ && held(now);
+    holds_ = must_retake_;
+    unknown_holder_until_ = now + options_.duration;
+}
+
 void lease_state::write_applied(const lease_write& write, row_version version, time_point now) {
     seen_ = lease_row{write.record, version};
     seen_since_ = now;
     unknown_writes_.clear();
     holds_ = true;
+    must_retake_ = false;
     fencing_ = write.record.fencing;
     if (write.takes) {
         taken_ = now;
+        has_predecessor_ = !write.is_first;
         safe_until_ = {};
     }
     safe_until_ = std::max(safe_until_, write.sent + options_.duration - options_.margin);
@@ -77,7 +97,7 @@
 }
 
 std::optional<lease_write> lease_state::release(time_point now) {
-    const bool known = holds_ && !needs_read_;
+    const bool known = holds_ && !needs_read_ && !must_retake_;
     lost();
     if (!known) {
         return std::nullopt;
@@ -86,7 +106,7 @@
 }
 
 void lease_state::lost() {
-    holds_ = false;
+    holds_ = must_retake_ = false;
     needs_read_ = true;
     unknown_writes_.clear();
 }
@@ -101,8 +121,7 @@
         return absl::FailedPreconditionError(
             absl::StrCat("lease ", options_.lease.str(), " is not held long enough"));
     }
-    if (!server_checks_fencing && fencing_ != first_fencing &&
-        now < taken_ + options_.longest_order) {
+    if (!server_checks_fencing && has_predecessor_ && now < taken_ + options_.longest_order) {
         return absl::UnavailableError(absl::StrCat("an order of the former holder of lease ",
                                                    options_.lease.str(), " may be under way"));
     }
--- a/src/node/duty_lease.cc
+++ b/src/node/duty_lease.cc
@@ -3,10 +3,22 @@
 #include "node/node_events.h"
 
 #include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
 
 namespace jujubetide {
 namespace {
 
+using json = nlohmann::json;
+
+/// The keys of the rows with the highest fencing numbers begin so; the era follows.
+constexpr std::string_view number_key_prefix = "number-";
+/// Fencing numbers of a later era are greater than all of the eras before: a restore may remove
+/// the rows that tell which were given out.
+constexpr unsigned era_shift = 32;
+
 /// How often the lease is checked, and how often it is renewed.
 constexpr micros step_period{300'000};
 constexpr micros renewal_period{1'200'000};
@@ -26,6 +38,20 @@
     return options;
 }
 
+std::string number_key(store_era era) {
+    return absl::StrCat(std::string(number_key_prefix), era.value());
+}
+
+fencing_number first_number(store_era era) {
+    return fencing_number((era.value() << era_shift) + 1);
+}
+
+/// The number in a row; 0 if the row makes no sense, as the lease's row has the number too.
+fencing_number parse_number(const std::string& text) {
+    const json body = json::parse(text, nullptr, false);
+    return body.is_number_unsigned() ? fencing_number(body.get<std::uint64_t>()) : fencing_number();
+}
+
 } // namespace
 
 duty_lease::duty_lease(serving_state& state, row_store& store, peer_exchange& peers)
@@ -41,18 +67,35 @@
            peers_.is_duty_candidate();
 }
 
+void duty_lease::update_era() {
+    const store_era before = std::exchange(era_, store_.era());
+    if (before == era_) {
+        return;
+    }
+    numbers_ = {number_key(era_), {}, {}};
+    if (before != store_era()) {
+        is_era_checked_ = true;
+        lease_.table_restored(state_.time.now());
+    }
+}
+
+fencing_number duty_lease::lowest_number() const {
+    return std::max(numbers_.highest.next(), first_number(era_));
+}
+
 void duty_lease::step() {
+    update_era();
     publish_state();
     const time_point now = state_.time.now();
     if (call_pending_ || released_) {
         return;
     }
-    const bool is_renewal = is_held();
-    if (is_renewal ? now - last_renewal_ < renewal_period : !is_candidate()) {
+    const bool is_renewal = is_held() && !lease_.must_retake();
+    if (is_renewal ? now - last_renewal_ < renewal_period : !is_held() && !is_candidate()) {
         return;
     }
     const std::optional<lease_write> update =
-        lease_.needs_read() ? std::nullopt : lease_.next_write(now);
+        lease_.needs_read() ? std::nullopt : lease_.next_write(now, lowest_number());
     if (update) {
         write(*update);
     } else {
@@ -62,42 +105,91 @@
 
 void duty_lease::read() {
     call_pending_ = true;
-    store_.read(table, key, [this](const absl::StatusOr<row_batch>& batch) {
+    store_.read(table, "", [this](const absl::StatusOr<row_batch>& batch) {
         call_pending_ = false;
-        if (!batch.ok()) {
+        update_era();
+        if (!batch.ok() || batch->era != era_) {
             return; // The next step tries again; a lease that is held may expire meanwhile.
         }
-        std::optional<lease_row> row;
-        for (const stored_row& stored : batch->rows) {
-            if (stored.key == key) {
-                const auto record = parse_lease_record(stored.value);
-                row = lease_row{record.ok() ? *record : lease_record{}, stored.version};
-            }
-        }
-        lease_.observe(row, state_.time.now());
-        held_row_ = row;
+        on_rows(*batch);
         publish_state();
     });
 }
 
-void duty_lease::write(const lease_write& update) {
-    call_pending_ = true;
-    last_renewal_ = update.sent;
+void duty_lease::on_rows(const row_batch& batch) {
+    std::optional<lease_row> row;
+    numbers_ = {number_key(era_), {}, {}};
+    old_number_rows_.clear();
+    for (const stored_row& stored : batch.rows) {
+        if (stored.key == key) {
+            const auto record = parse_lease_record(stored.value);
+            row = lease_row{record.ok() ? *record : lease_record{}, stored.version};
+        } else if (stored.key == numbers_.key) {
+            numbers_ = {stored.key, parse_number(stored.value), stored.version};
+        } else if (stored.key.starts_with(number_key_prefix)) {
+            old_number_rows_.push_back(stored.key);
+        }
+    }
+    // A node that has just started did not see a restore after which nobody took the lease yet.
+    const bool is_from_earlier_era =
+        numbers_.version == row_version() && (row.has_value() || !old_number_rows_.empty());
+    if (!std::exchange(is_era_checked_, true) && is_from_earlier_era) {
+        lease_.table_restored(state_.time.now());
+    }
+    lease_.observe(row, state_.time.now());
+    held_row_ = row;
+}
+
+row_transaction duty_lease::transaction_for(const lease_write& update) const {
     row_transaction transaction;
     transaction.expected.push_back({table, key, update.expected});
     transaction.puts.push_back({table, key, to_text(update.record)});
-    store_.commit(transaction, [this, update](const absl::StatusOr<row_version>& result) {
-        call_pending_ = false;
-        if (result.ok()) {
-            lease_.write_applied(update, *result, state_.time.now());
-            held_row_ = lease_row{update.record, *result};
-        } else if (absl::IsAborted(result.status())) {
-            lease_.write_refused();
-        } else if (absl::IsDeadlineExceeded(result.status())) {
-            lease_.write_unknown(update);
+    if (update.takes) {
+        transaction.expected.push_back({table, numbers_.key, numbers_.version});
+        transaction.puts.push_back(
+            {table, numbers_.key, json(update.record.fencing.value()).dump()});
+        for (const std::string& old : old_number_rows_) {
+            transaction.removals.push_back({table, old});
         }
-        publish_state();
-    });
+    }
+    return transaction;
+}
+
+void duty_lease::write(const lease_write& update) {
+    call_pending_ = true;
+    last_renewal_ = update.sent;
+    store_.commit(transaction_for(update),
+                  [this, update, era = era_](const absl::StatusOr<row_version>& result) {
+                      call_pending_ = false;
+                      update_era();
+                      if (era != era_) {
+                          publish_state();
+                          return; // Written on top of rows that the restore replaced.
+                      }
+                      if (result.ok()) {
+                          on_written(update, *result);
+                      } else if (absl::IsAborted(result.status())) {
+                          lease_.write_refused();
+                      } else if (absl::IsDeadlineExceeded(result.status())) {
+                          lease_.write_unknown(update);
+                      }
+                      publish_state();
+                  });
+}
+
+void duty_lease::on_written(const lease_write& update, row_version version) {
+    const bool is_retaken = lease_.must_retake();
+    lease_.write_applied(update, version, state_.time.now());
+    held_row_ = lease_row{update.record, version};
+    if (!update.takes) {
+        return;
+    }
+    numbers_ = {number_key(era_), update.record.fencing, version};
+    old_number_rows_.clear();
+    if (is_retaken) {
+        state_.log.write(duty_retaken,
+                         {{"lease", key}, {"number", absl::StrCat(update.record.fencing.value())}});
+    }
 }
 
 void duty_lease::release() {
@@ -106,10 +198,7 @@
     if (!update || call_pending_) {
         return;
     }
-    row_transaction transaction;
-    transaction.expected.push_back({table, key, update->expected});
-    transaction.puts.push_back({table, key, to_text(update->record)});
-    store_.commit(transaction, [](const absl::StatusOr<row_version>&) {
+    store_.commit(transaction_for(*update), [](const absl::StatusOr<row_version>&) {
         // If this fails, the lease expires by itself.
     });
     publish_state();
@@ -122,7 +211,9 @@
         return;
     }
     was_held_ = now_held;
-    state_.log.write(now_held ? duty_gained : duty_lost, {{"lease", key}});
+    const std::uint64_t number = held_row_ ? held_row_->record.fencing.value() : 0;
+    state_.log.write(now_held ? duty_gained : duty_lost,
+                     {{"lease", key}, {"number", absl::StrCat(number)}});
 }
 
 } // namespace jujubetide
--- a/src/node/duty_lease.h
+++ b/src/node/duty_lease.h
@@ -27,9 +27,25 @@
     }
 
 private:
+    /// The row that keeps the highest fencing number that was given out in an era of the store.
+    /// Only nodes that know of that era write it, so that a late write of an earlier era cannot set
+    /// the number back.
+    struct number_row {
+        std::string key;
+        fencing_number highest;
+        row_version version;
+    };
+
     void step();
     void read();
     void write(const lease_write& update);
+    void on_rows(const row_batch& batch);
+    void on_written(const lease_write& update, row_version version);
+    /// Notes that the store was restored since the last call.
+    void update_era();
+    /// The lowest number that a holder may take in the store's era.
+    [[nodiscard]] fencing_number lowest_number() const;
+    [[nodiscard]] row_transaction transaction_for(const lease_write& update) const;
     [[nodiscard]] bool is_candidate() const;
     void publish_state();
 
@@ -39,6 +55,13 @@
     lease_state lease_;
     /// The row as last written or read.
     std::optional<lease_row> held_row_;
+    /// The era in which the lease is held or waited for; 0 before the first answer of the store.
+    store_era era_;
+    number_row numbers_;
+    /// Keys of the number rows of earlier eras.
+    std::vector<std::string> old_number_rows_;
+    /// Whether it is known if the store was restored since the lease was taken last.
+    bool is_era_checked_ = false;
     bool call_pending_ = false;
     bool was_held_ = false;
     bool released_ = false;
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -57,6 +57,7 @@
                                                  "peer_message_rejected"};
 inline constexpr log_event duty_gained{7050, log_severity::info, "duty_gained"};
 inline constexpr log_event duty_lost{7051, log_severity::warning, "duty_lost"};
+inline constexpr log_event duty_retaken{7065, log_severity::info, "duty_retaken"};
 inline constexpr log_event usage_reported{7052, log_severity::info, "usage_reported"};
 inline constexpr log_event usage_not_reported{7053, log_severity::warning, "usage_not_reported"};
 inline constexpr log_event servers_ordered{7054, log_severity::info, "servers_ordered"};
--- a/tests/node/duties_test.cc
+++ b/tests/node/duties_test.cc
@@ -10,11 +10,66 @@
 
 namespace {
 
+/// One node's way to the common store, which can be cut.
+class store_link final : public row_store {
+public:
+    store_link(fake_row_store& store, timer_service& timers) : store_(store), timers_(timers) {}
+    void cut() { is_cut_ = true; }
+
+protected:
+    [[nodiscard]] store_era do_era() const override { return era_; }
+    void do_read(const std::string& table, const std::string& from,
+                 batch_handler handler) override {
+        if (!fails(handler)) {
+            store_.read(table, from, with_era(std::move(handler)));
+        }
+    }
+    void do_changes(const std::string& table, row_version after, millis wait,
+                    batch_handler handler) override {
+        if (!fails(handler)) {
+            store_.changes(table, after, wait, with_era(std::move(handler)));
+        }
+    }
+    void do_commit(const row_transaction& transaction, commit_handler handler) override {
+        if (!fails(handler)) {
+            store_.commit(transaction, with_era(std::move(handler)));
+        }
+    }
+
+private:
+    template <class Handler>
+    bool fails(const Handler& handler) {
+        if (is_cut_) {
+            answers_.push_back(timers_.once(
+                millis{1}, [handler] { handler(absl::DeadlineExceededError("link is cut")); }));
+        }
+        return is_cut_;
+    }
+    /// The handler, for as long as the node lives.
+    template <class Result>
+    std::function<void(Result)> with_era(std::function<void(Result)> handler) {
+        return [this, handler = std::move(handler), alive = std::weak_ptr(alive_)](Result result) {
+            if (!alive.expired()) {
+                era_ = store_.era();
+                handler(std::move(result));
+            }
+        };
+    }
+
+    fake_row_store& store_;
+    timer_service& timers_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    bool is_cut_ = false;
+    store_era era_;
+    std::vector<std::unique_ptr<timer_subscription>> answers_;
+};
+
 /// The parts of one node that carry out duties, driven by a manual clock.
 struct duty_node {
     duty_node(event_loop& loop, manual_timer_service& timers, manual_clock& time,
-              fake_row_store& store, const std::string& name, std::uint64_t start)
-        : state(make_settings(name), loop, timers, time, log, random, headers),
+              fake_row_store& common, const std::string& name, std::uint64_t start)
+        : store(common, timers),
+          state(make_settings(name), loop, timers, time, log, random, headers),
           peers(*peer_exchange::make(state, store, incarnation(start))),
           lease(state, store, *peers), reporter(state, store, *peers, lease, calls) {
         serving_config::parts parts;
@@ -33,6 +88,7 @@
         return settings;
     }
 
+    store_link store;
     recorded_log log;
     seeded_random random{1};
     platform::call_headers headers;
@@ -164,3 +220,79 @@
     }
     CHECK(counts.size() == 1);
 }
+
+TEST_CASE("a generation number from before a restore is not given out to another holder") {
+    duty_fixture fixture;
+    auto first = fixture.make("n1", 1);
+    fixture.advance(millis{3'100}); // No renewal is under way.
+    REQUIRE(first->lease.is_held());
+    fixture.store.take_copy();
+    first->lease.release();
+    auto second = fixture.make("n2", 2);
+    fixture.advance(millis{8'000});
+    REQUIRE(second->lease.is_held());
+    const fencing_number before = *second->lease.permit();
+    fixture.store.restore();
+    second.reset(); // Ends before it has noticed the restore.
+    const auto third = fixture.make("n3", 3);
+    fixture.advance(millis{15'000});
+    REQUIRE(third->lease.is_held());
+    CHECK(*third->lease.permit() > before);
+}
+
+TEST_CASE("the holder keeps the duties through a restore, with a higher generation number") {
+    for (const int renewals : {0, 1, 5}) {
+        duty_fixture fixture;
+        const auto holder = fixture.make("n1", 1);
+        fixture.advance(millis{3'000});
+        fixture.store.take_copy();
+        fixture.advance(millis{1'200} * renewals);
+        const fencing_number before = *holder->lease.permit();
+        fixture.store.restore();
+        const auto other = fixture.make("n2", 2);
+        for (int i = 0; i < 200; ++i) {
+            fixture.advance(millis{50});
+            CHECK(holder->lease.is_held());
+            CHECK_FALSE(other->lease.is_held());
+        }
+        CHECK(*holder->lease.permit() > before);
+    }
+}
+
+TEST_CASE("a node that starts after a restore does not take duties that are held") {
+    duty_fixture fixture;
+    auto first = fixture.make("n1", 1);
+    fixture.advance(millis{3'100}); // No renewal is under way.
+    first->lease.release();
+    fixture.advance(millis{100});
+    fixture.store.take_copy(); // The lease is released in the copy.
+    const auto second = fixture.make("n2", 2);
+    fixture.advance(millis{3'000});
+    REQUIRE(second->lease.is_held());
+    fixture.store.restore();
+    const auto third = fixture.make("n3", 3);
+    // The second node does not reach the restored store.
+    second->store.cut();
+    for (int i = 0; i < 300; ++i) {
+        fixture.advance(millis{50});
+        CHECK_FALSE((second->lease.is_held() && third->lease.is_held()));
+    }
+    CHECK(third->lease.is_held());
+}
+
+TEST_CASE("a second restore amid the first does not set the generation number back") {
+    duty_fixture fixture;
+    const auto first = fixture.make("n1", 1);
+    fixture.advance(millis{3'000});
+    fixture.store.take_copy();
+    std::set<fencing_number> numbers{*first->lease.permit()};
+    for (int i = 0; i < 4; ++i) {
+        fixture.store.restore();
+        fixture.advance(millis{700} * i);
+        fixture.store.restore();
+        fixture.advance(millis{4'000});
+        REQUIRE(first->lease.permit().ok());
+        CHECK(*first->lease.permit() > *numbers.rbegin());
+        numbers.insert(*first->lease.permit());
+    }
+}
