CONFIG: nodes take over what a restored store shows under versions that they knew already

Cause: versions of the store were compared across the restore, which gives them out again. A follower that knew a higher version ignored the table, and read it again without any pause; one that was passed by the new versions took only the changes after the version that it knew. Peers offered a table only where its version was higher.

Change: followers, mirrors and peers compare the era first (store_position); an answer of another era than the request's leads to a fresh read; a restore between two pages as well. Heartbeats and tables that peers fetch tell the era (new last field; older releases read the rest; a peer that names no era is no reader for those who know one). The store's own word overrules an era that only a peer named.

Same cause, related paths: a row that a node saw replaced or removed does not come back with the copy (known by key, version and value) until it is written again: older configurations, orders to move a service, `ready` rows of servers that leave or are gone, earlier rows of nodes. Live peers whose rows the copy lacks stay in the directory, and every node writes its own row again.

--- a/include/jujubetide/store/table_follower.h
+++ b/include/jujubetide/store/table_follower.h
@@ -16,9 +16,10 @@
 class table_observer {
 public:
     virtual ~table_observer() = default;
-    /// The whole table as of `version` of the store; it replaces all rows received before.
-    void on_snapshot(const std::vector<stored_row>& rows, row_version version) {
-        do_snapshot(rows, version);
+    /// The whole table as of a state of the store; it replaces all rows received before. After a
+    /// restore of the store, in a later era, rows may be missing that their writers write again.
+    void on_snapshot(const std::vector<stored_row>& rows, store_position at) {
+        do_snapshot(rows, at);
     }
     void on_changes(const std::vector<stored_row>& rows) { do_changes(rows); }
     /// Calls for this table have started to fail.
@@ -30,7 +31,7 @@
     table_observer() = default;
     table_observer(const table_observer&) = default;
     table_observer& operator=(const table_observer&) = default;
-    virtual void do_snapshot(const std::vector<stored_row>& rows, row_version version) = 0;
+    virtual void do_snapshot(const std::vector<stored_row>& rows, store_position at) = 0;
     virtual void do_changes(const std::vector<stored_row>& rows) = 0;
     virtual void do_store_unavailable(const absl::Status&) {}
     virtual void do_store_recovered() {}
@@ -47,8 +48,8 @@
 };
 
 /// Keeps an observer up to date with one table: reads the table, then polls for changes, and reads
-/// the table again when the store no longer keeps the history. While it does not follow the store,
-/// its observer receives only adopted contents. Runs on an event loop.
+/// the table again when the store no longer keeps the history or was restored. While it does not
+/// follow the store, its observer receives only adopted contents. Runs on an event loop.
 class table_follower {
 public:
     /// The referenced objects must outlive the follower.
@@ -66,12 +67,13 @@
     /// Adopts the whole table from another follower of the same store if it is newer. Returns
     /// whether it was adopted.
     bool adopt(const row_batch& batch);
-    /// Adopts another follower's changes after the version `after` if they are newer and leave no
-    /// gap. Returns whether they were adopted.
+    /// Adopts another follower's changes after the version `after` of the same era if they are
+    /// newer and leave no gap. Returns whether they were adopted.
     bool adopt_changes(const row_batch& batch, row_version after);
 
-    /// The version of the table that the observer received last.
-    [[nodiscard]] row_version version() const { return version_; }
+    /// The state of the store of which the observer received the table last.
+    [[nodiscard]] store_position position() const { return position_; }
+    [[nodiscard]] row_version version() const { return position_.version; }
     [[nodiscard]] bool is_following() const { return following_; }
     /// Following is enabled and the last call to the store failed.
     [[nodiscard]] bool is_store_unavailable() const { return following_ && store_unavailable_; }
@@ -79,6 +81,8 @@
 private:
     void read_page(const std::string& first_key);
     void on_page(const std::string& first_key, absl::StatusOr<row_batch> batch);
+    /// Whether the pages that were read supersede what the observer has.
+    [[nodiscard]] bool are_pages_newer() const;
     void resume();
     void request_changes();
     void on_changes_response(absl::StatusOr<row_batch> batch);
@@ -96,8 +100,11 @@
     std::unique_ptr<timer_subscription> timer_;
     /// Rows of the pages read so far.
     std::vector<stored_row> pages_;
-    row_version pages_version_;
-    row_version version_;
+    store_position pages_position_;
+    /// The observer's when the first page was requested, and when changes were.
+    store_position position_at_read_;
+    store_position position_at_request_;
+    store_position position_;
     bool following_ = true;
     bool call_in_progress_ = false;
     bool loaded_ = false;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -148,10 +148,10 @@
         return peer_answers.status();
     }
     parts->peer_answers = *std::move(peer_answers);
-    parts->peers->set_table_versions([all = parts.get()] {
-        return std::vector<row_version>{all->config_mirror.last_changed_version(),
-                                        all->registration_mirror.last_changed_version(),
-                                        all->peer_mirror->last_changed_version()};
+    parts->peers->set_table_changes([all = parts.get()] {
+        return std::vector<store_position>{all->config_mirror.last_change(),
+                                           all->registration_mirror.last_change(),
+                                           all->peer_mirror->last_change()};
     });
     parts->peers->on_newer_table(
         [service = parts->peer_answers.get()] { service->fetch_missing(); });
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -31,6 +31,15 @@
         .dump();
 }
 
+std::vector<store_position> to_positions(const std::vector<row_version>& versions,
+                                         const std::vector<store_era>& eras) {
+    std::vector<store_position> positions;
+    for (std::size_t i = 0; i < versions.size(); ++i) {
+        positions.push_back({i < eras.size() ? eras[i] : store_era(), versions[i]});
+    }
+    return positions;
+}
+
 absl::StatusOr<node_record> parse_record(const stored_row& row) {
     try {
         const json body = json::parse(row.value);
@@ -128,8 +137,9 @@
     heartbeat.cores = state_.settings.cores;
     heartbeat.reaches_store = reaches_store_;
     heartbeat.follows_tables = follows_tables_;
-    if (table_versions_) {
-        heartbeat.table_versions = table_versions_();
+    for (const store_position& change : own_table_changes()) {
+        heartbeat.table_versions.push_back(change.version);
+        heartbeat.table_eras.push_back(change.era);
     }
     heartbeat.has_usage_history = has_usage_history_;
     heartbeat.holds_duties = lease_.has_value();
@@ -192,7 +202,8 @@
     sender.follows_tables = heartbeat->follows_tables;
     sender.holds_duties = heartbeat->holds_duties;
     sender.has_usage_history = heartbeat->has_usage_history;
-    sender.table_versions = heartbeat->table_versions;
+    sender.table_changes = to_positions(heartbeat->table_versions, heartbeat->table_eras);
+    sender.names_eras = !heartbeat->table_eras.empty();
     sender.demand = heartbeat->demand;
     if (heartbeat->holds_duties && on_peer_lease_) {
         if (const auto record = parse_lease_record(heartbeat->lease_record); record.ok()) {
@@ -229,16 +240,19 @@
 }
 
 bool peer_exchange::has_newer_table(const peer& other) const {
-    const std::vector<row_version> own =
-        table_versions_ ? table_versions_() : std::vector<row_version>();
-    for (std::size_t i = 0; i < own.size() && i < other.table_versions.size(); ++i) {
-        if (other.table_versions[i] > own[i]) {
+    const std::vector<store_position> own = own_table_changes();
+    for (std::size_t i = 0; i < own.size() && i < other.table_changes.size(); ++i) {
+        if (other.table_changes[i] > own[i]) {
             return true;
         }
     }
     return false;
 }
 
+std::vector<store_position> peer_exchange::own_table_changes() const {
+    return table_changes_ ? table_changes_() : std::vector<store_position>();
+}
+
 int peer_exchange::periods_per_heartbeat() const {
     return 1 + static_cast<int>(peers_.size() / max_peers_per_period);
 }
@@ -253,7 +267,7 @@
 
 void peer_exchange::update_liveness() {
     std::erase_if(peers_, [this](const auto& item) {
-        return item.second.is_row_removed && !item.second.was_live;
+        return (item.second.is_row_removed || item.second.is_row_lost) && !item.second.was_live;
     });
     std::size_t live_nodes = 1;
     for (auto& [node, other] : peers_) {
@@ -282,9 +296,12 @@
     return sharers;
 }
 
-void peer_exchange::do_snapshot(const std::vector<stored_row>& rows, row_version) {
+void peer_exchange::do_snapshot(const std::vector<stored_row>& rows, store_position at) {
+    // A restored store may lack the rows of live peers, which write them again.
+    const store_era era_before = std::exchange(table_era_, at.era);
+    const bool is_restored = era_before != at.era && era_before != store_era();
     for (auto& [node, other] : peers_) {
-        other.is_row_removed = true;
+        (is_restored ? other.is_row_lost : other.is_row_removed) = true;
     }
     for (const stored_row& row : rows) {
         update_peer(row);
@@ -292,7 +309,7 @@
     const bool has_own_row = std::any_of(rows.begin(), rows.end(), [this](const auto& row) {
         return row.key == state_.settings.node.str();
     });
-    if (!has_own_row) {
+    if (!has_own_row || is_restored) {
         write_own_row();
     }
 }
@@ -327,6 +344,7 @@
     }
     other.record = *record;
     other.is_row_removed = false;
+    other.is_row_lost = false;
 }
 
 std::vector<directory_entry> peer_exchange::directory() const {
@@ -390,11 +408,11 @@
 }
 
 std::optional<endpoint> peer_exchange::peer_with_newer_table(std::size_t index,
-                                                             row_version known) const {
+                                                             store_position known) const {
     std::vector<endpoint> newer;
     for (const auto& [node, other] : peers_) {
-        if (is_live(other) && index < other.table_versions.size() &&
-            other.table_versions[index] > known) {
+        if (is_live(other) && index < other.table_changes.size() &&
+            other.table_changes[index] > known) {
             newer.push_back(other.record.peers);
         }
     }
@@ -414,7 +432,10 @@
 bool peer_exchange::has_live_table_reader() const {
     return std::any_of(peers_.begin(), peers_.end(), [this](const auto& item) {
         const peer& other = item.second;
-        return other.follows_tables && other.reaches_store && is_live(other) && !other.is_leaving;
+        // Without its eras, a peer's tables cannot be told to be newer than this node's.
+        const bool is_comparable = other.names_eras || store_.era() == store_era();
+        return is_comparable && other.follows_tables && other.reaches_store && is_live(other) &&
+               !other.is_leaving;
     });
 }
 
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -59,9 +59,9 @@
     }
     void set_has_usage_history(bool has_history) { has_usage_history_ = has_history; }
     [[nodiscard]] bool has_usage_history() const { return has_usage_history_; }
-    /// Sets the source of the table versions for heartbeats.
-    void set_table_versions(std::function<std::vector<row_version>()> versions) {
-        table_versions_ = std::move(versions);
+    /// Sets the source of the newest change of each shared table, for heartbeats.
+    void set_table_changes(std::function<std::vector<store_position>()> changes) {
+        table_changes_ = std::move(changes);
     }
     /// Sets the store access for the next heartbeats: whether the store answers, and whether this
     /// node follows its tables.
@@ -83,7 +83,7 @@
     /// Address of a random live peer that has a newer change of the shared table `index` than
     /// `known`.
     [[nodiscard]] std::optional<endpoint> peer_with_newer_table(std::size_t index,
-                                                                row_version known) const;
+                                                                store_position known) const;
     /// Whether a live peer holds the duty lease.
     [[nodiscard]] bool has_peer_holding_duties() const;
     /// Whether all live nodes have sent a heartbeat since `since`.
@@ -96,7 +96,7 @@
     [[nodiscard]] bool is_duty_candidate() const;
 
 protected:
-    void do_snapshot(const std::vector<stored_row>& rows, row_version at) override;
+    void do_snapshot(const std::vector<stored_row>& rows, store_position at) override;
     void do_changes(const std::vector<stored_row>& rows) override;
 
 private:
@@ -109,6 +109,8 @@
         bool was_live = false;
         /// Its row was removed; the entry is erased once the peer is silent.
         bool is_row_removed = false;
+        /// Its row is missing since a restore of the store; erased likewise.
+        bool is_row_lost = false;
         bool is_ready = false;
         bool is_leaving = false;
         double cores = 1.0;
@@ -117,7 +119,10 @@
         bool follows_tables = false;
         bool holds_duties = false;
         bool has_usage_history = false;
-        std::vector<row_version> table_versions;
+        /// The newest change that it has of each shared table.
+        std::vector<store_position> table_changes;
+        /// Of a release that tells the eras of its tables.
+        bool names_eras = false;
         std::map<service_id, double> demand;
     };
 
@@ -136,6 +141,7 @@
     /// Number of `heartbeat_period`s from one heartbeat to the next.
     [[nodiscard]] int periods_per_heartbeat() const;
     [[nodiscard]] bool has_newer_table(const peer& other) const;
+    [[nodiscard]] std::vector<store_position> own_table_changes() const;
     [[nodiscard]] bool is_live(const peer& other) const;
 
     serving_state& state_;
@@ -148,7 +154,9 @@
     bool has_usage_history_ = false;
     bool reaches_store_ = true;
     bool follows_tables_ = false;
-    std::function<std::vector<row_version>()> table_versions_;
+    std::function<std::vector<store_position>()> table_changes_;
+    /// The era of the last snapshot of the nodes' table.
+    store_era table_era_;
     std::function<void()> on_newer_table_;
     int periods_since_heartbeat_ = 0;
     int heartbeats_since_full_ = 0;
--- a/src/node/peer_heartbeat.cc
+++ b/src/node/peer_heartbeat.cc
@@ -109,6 +109,11 @@
             heartbeat.trials.push_back(to_trial_report(item));
         }
     }
+    if (index < body.size()) {
+        for (const json& item : body.at(index++)) {
+            heartbeat.table_eras.emplace_back(item.get<std::uint64_t>());
+        }
+    }
 }
 
 } // namespace
@@ -118,6 +123,10 @@
     for (const row_version version : heartbeat.table_versions) {
         versions.push_back(version.value());
     }
+    json eras = json::array();
+    for (const store_era era : heartbeat.table_eras) {
+        eras.push_back(era.value());
+    }
     json spending = json::array();
     for (const customer_usage& item : heartbeat.spending) {
         spending.push_back({item.customer.str(), item.admitted, item.requested, item.level});
@@ -164,7 +173,8 @@
                        to_array(heartbeat.server_limits),
                        heartbeat.reaches_servers,
                        to_array(heartbeat.leaving_servers),
-                       to_array(heartbeat.trials)};
+                       to_array(heartbeat.trials),
+                       std::move(eras)};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
--- a/src/node/peer_heartbeat.h
+++ b/src/node/peer_heartbeat.h
@@ -9,6 +9,7 @@
 #include "jujubetide/serving/usage_cap.h"
 #include "jujubetide/serving/usage_ledger.h"
 #include "jujubetide/serving/version_trials.h"
+#include "jujubetide/store/store_era.h"
 
 #include <absl/status/statusor.h>
 
@@ -58,6 +59,8 @@
     std::vector<leaving_report> leaving_servers;
     /// Answers of versions on trial to this node.
     std::vector<trial_report> trials;
+    /// The era of each of `table_versions`; empty from nodes of earlier releases.
+    std::vector<store_era> table_eras;
 };
 
 std::string encode(const peer_heartbeat& heartbeat);
--- a/src/node/peer_messages.cc
+++ b/src/node/peer_messages.cc
@@ -66,7 +66,7 @@
         list.push_back({row.key, to_binary(row.value), row.version.value(), row.removed});
     }
     const json after = rows.changed_after ? json(rows.changed_after->value()) : json();
-    return to_bytes({rows.batch.version.value(), after, std::move(list)});
+    return to_bytes({rows.batch.version.value(), after, std::move(list), rows.batch.era.value()});
 }
 
 absl::StatusOr<table_rows> decode_rows(const std::string& bytes) {
@@ -82,6 +82,10 @@
                                        row_version(item.at(2).get<std::uint64_t>()),
                                        item.at(3).get<bool>()});
         }
+        // Nodes of earlier releases send no era.
+        if (constexpr std::size_t era_index = 3; body.size() > era_index) {
+            rows.batch.era = store_era(body.at(era_index).get<std::uint64_t>());
+        }
         return rows;
     } catch (const json::exception& error) {
         return absl::InvalidArgumentError(
--- a/src/node/peer_service.cc
+++ b/src/node/peer_service.cc
@@ -15,6 +15,8 @@
 constexpr const char* rows_path = "/rows/";
 /// Follows the table's name in a request for the rows that changed after a version.
 constexpr const char* after_query = "?after=";
+/// Follows the version; nodes of earlier releases leave it out.
+constexpr const char* era_query = "&era=";
 constexpr int ok_status = 200;
 constexpr int not_found_status = 404;
 /// Period of the check for data to fetch.
@@ -26,6 +28,12 @@
 /// connection to the store may be dead without an error.
 constexpr micros max_table_lag{500'000};
 
+bool consume_number(std::string_view& text, std::uint64_t& number) {
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+    text.remove_prefix(static_cast<std::size_t>(result.ptr - text.data()));
+    return result.ec == std::errc();
+}
+
 bool consume_prefix(std::string_view& text, std::string_view prefix) {
     if (!text.starts_with(prefix)) {
         return false;
@@ -114,12 +122,14 @@
 
 bool peer_service::fetch_table(std::size_t index) {
     shared_table& table = tables_[index];
-    const row_version own_version = table.follower.version();
-    const auto newer = peers_.peer_with_newer_table(index, own_version);
+    const store_position own = table.follower.position();
+    const auto newer = peers_.peer_with_newer_table(index, own);
     if (!should_fetch_from_peer(index, newer.has_value())) {
         return false;
     }
-    fetch(*newer, absl::StrCat(rows_path, table.name, after_query, own_version.value()),
+    fetch(*newer,
+          absl::StrCat(rows_path, table.name, after_query, own.version.value(), era_query,
+                       own.era.value()),
           [this, index](const std::string& body) { apply_rows(index, body); });
     return true;
 }
@@ -194,10 +204,15 @@
         }
         table_rows rows;
         rows.batch.version = table.follower.version();
+        rows.batch.era = table.follower.position().era;
         std::uint64_t after = 0;
-        if (consume_prefix(rest, after_query) &&
-            std::from_chars(rest.data(), rest.data() + rest.size(), after).ec == std::errc()) {
-            if (auto changes = table.mirror.changes_after(row_version(after))) {
+        if (consume_prefix(rest, after_query) && consume_number(rest, after)) {
+            std::uint64_t era = table.mirror.era().value();
+            const bool is_valid = !consume_prefix(rest, era_query) || consume_number(rest, era);
+            auto changes = is_valid
+                               ? table.mirror.changes_after({store_era(era), row_version(after)})
+                               : std::nullopt;
+            if (changes) {
                 rows.changed_after = row_version(after);
                 rows.batch.rows = *std::move(changes);
                 return rows;
--- a/src/node/row_mirror.cc
+++ b/src/node/row_mirror.cc
@@ -1,6 +1,8 @@
 #include "node/row_mirror.h"
 
 #include <algorithm>
+#include <functional>
+#include <set>
 #include <utility>
 
 namespace jujubetide {
@@ -8,6 +10,8 @@
 
 /// Limit on the removals that are kept: several times the number of rows in a table of servers.
 constexpr std::size_t max_removals = 2'000;
+/// Limit on the superseded rows that are kept: those of the seconds by which a copy can be older.
+constexpr std::size_t max_superseded = 4'000;
 
 } // namespace
 
@@ -20,43 +24,88 @@
     return list;
 }
 
-std::optional<std::vector<stored_row>> row_mirror::changes_after(row_version after) const {
-    if (after < removals_complete_from_) {
+std::optional<std::vector<stored_row>> row_mirror::changes_after(store_position after) const {
+    if (after.era != era_ || after.version < removals_complete_from_) {
         return std::nullopt;
     }
     std::vector<stored_row> list;
     for (const auto& [key, row] : rows_) {
-        if (row.version > after) {
+        if (row.version > after.version) {
             list.push_back(row);
         }
     }
     for (const auto& [key, version] : removal_versions_) {
-        if (version > after) {
+        if (version > after.version) {
             list.push_back({key, "", version, true});
         }
     }
     return list;
 }
 
-void row_mirror::do_snapshot(const std::vector<stored_row>& rows, row_version at) {
+void row_mirror::do_snapshot(const std::vector<stored_row>& rows, store_position at) {
+    const bool is_restored = std::exchange(era_, at.era) != at.era;
+    const std::vector<stored_row> current = is_restored ? without_superseded(rows) : rows;
+    if (is_restored) {
+        last_changed_version_ = row_version();
+    }
+    for (const stored_row& row : current) {
+        remember_superseded(row);
+    }
     std::map<std::string, stored_row> previous = std::exchange(rows_, {});
-    for (const stored_row& row : rows) {
+    for (const stored_row& row : current) {
         last_changed_version_ = std::max(last_changed_version_, row.version);
         previous.erase(row.key);
         rows_[row.key] = row;
     }
     if (!previous.empty()) {
         // Some rows are gone; the versions of their removals are not known.
-        last_changed_version_ = std::max(last_changed_version_, at);
+        last_changed_version_ = std::max(last_changed_version_, at.version);
+    }
+    for (const auto& [key, gone] : previous) {
+        supersede(gone);
     }
     removal_versions_.clear();
-    removals_complete_from_ = at;
-    observer_.on_snapshot(rows, at);
+    removals_complete_from_ = at.version;
+    observer_.on_snapshot(current, at);
+}
+
+row_mirror::superseded_row row_mirror::to_superseded(const stored_row& row) {
+    return {row.key, row.version, std::hash<std::string>{}(row.value)};
+}
+
+void row_mirror::remember_superseded(const stored_row& by) {
+    const auto before = rows_.find(by.key);
+    if (before == rows_.end() || (!by.removed && by.value == before->second.value)) {
+        return;
+    }
+    supersede(before->second);
+}
+
+void row_mirror::supersede(const stored_row& row) {
+    superseded_.push_back(to_superseded(row));
+    if (superseded_.size() > max_superseded) {
+        superseded_.pop_front();
+    }
+}
+
+std::vector<stored_row> row_mirror::without_superseded(const std::vector<stored_row>& rows) const {
+    const std::set<superseded_row> superseded(superseded_.begin(), superseded_.end());
+    std::vector<stored_row> current;
+    for (const stored_row& row : rows) {
+        const auto known = rows_.find(row.key);
+        if (!superseded.contains(to_superseded(row))) {
+            current.push_back(row);
+        } else if (known != rows_.end()) {
+            current.push_back({row.key, known->second.value, row.version, false});
+        }
+    }
+    return current;
 }
 
 void row_mirror::do_changes(const std::vector<stored_row>& rows) {
     for (const stored_row& row : rows) {
         last_changed_version_ = std::max(last_changed_version_, row.version);
+        remember_superseded(row);
         if (row.removed) {
             rows_.erase(row.key);
             removal_versions_[row.key] = row.version;
--- a/src/node/table_observers.cc
+++ b/src/node/table_observers.cc
@@ -91,7 +91,7 @@
     return *std::move(server);
 }
 
-void registration_observer::do_snapshot(const std::vector<stored_row>& rows, row_version) {
+void registration_observer::do_snapshot(const std::vector<stored_row>& rows, store_position) {
     std::vector<backend_server> servers;
     for (const stored_row& row : rows) {
         if (auto server = decode(row)) {
--- a/src/node/table_observers.h
+++ b/src/node/table_observers.h
@@ -18,7 +18,7 @@
                     std::function<void()> on_change);
 
 protected:
-    void do_snapshot(const std::vector<stored_row>& rows, row_version) override {
+    void do_snapshot(const std::vector<stored_row>& rows, store_position) override {
         do_changes(rows);
     }
     void do_changes(const std::vector<stored_row>& rows) override;
@@ -46,7 +46,7 @@
     void expire();
 
 protected:
-    void do_snapshot(const std::vector<stored_row>& rows, row_version at) override;
+    void do_snapshot(const std::vector<stored_row>& rows, store_position at) override;
     void do_changes(const std::vector<stored_row>& rows) override;
     void do_store_unavailable(const absl::Status& status) override;
     void do_store_recovered() override;
--- a/src/store/table_follower.cc
+++ b/src/store/table_follower.cc
@@ -20,6 +20,7 @@
 void table_follower::read_page(const std::string& first_key) {
     if (first_key.empty()) {
         pages_.clear();
+        position_at_read_ = position_;
     }
     call_in_progress_ = true;
     store_.read(table_, first_key, [this, first_key](absl::StatusOr<row_batch> batch) {
@@ -36,7 +37,10 @@
     if (first_key.empty()) {
         // Polling starts at the first page's version, so that changes made while further pages are
         // fetched are not missed.
-        pages_version_ = batch->version;
+        pages_position_ = batch->position();
+    } else if (batch->era != pages_position_.era) {
+        read_page(""); // The store was restored between two pages.
+        return;
     }
     const std::string last = batch->rows.empty() ? std::string() : batch->rows.back().key;
     std::move(batch->rows.begin(), batch->rows.end(), std::back_inserter(pages_));
@@ -47,13 +51,24 @@
     on_call_succeeded();
     loaded_ = true;
     needs_reload_ = false;
-    if (pages_version_ >= version_) {
-        version_ = pages_version_;
-        observer_.on_snapshot(std::exchange(pages_, {}), version_);
+    if (!are_pages_newer()) {
+        // A read that lags behind: the history is as likely to be gone for the next call.
+        resume_after(options_.min_retry_delay);
+        return;
     }
+    position_ = pages_position_;
+    observer_.on_snapshot(std::exchange(pages_, {}), position_);
     request_changes();
 }
 
+bool table_follower::are_pages_newer() const {
+    if (pages_position_.era == position_.era) {
+        return pages_position_.version >= position_.version;
+    }
+    // Of the era, the store's word counts, unless another follower knew of a later one meanwhile.
+    return pages_position_.era > position_.era || position_ == position_at_read_;
+}
+
 void table_follower::set_following(bool follow) {
     if (std::exchange(following_, follow) == follow) {
         return;
@@ -82,9 +97,10 @@
     }
     call_in_progress_ = true;
     request_time_ = clock_.now();
+    position_at_request_ = position_;
     // After a failure the store answers at once, which detects its recovery without a change.
     store_.changes(
-        table_, version_, store_unavailable_ ? millis{0} : options_.wait,
+        table_, position_.version, store_unavailable_ ? millis{0} : options_.wait,
         [this](absl::StatusOr<row_batch> batch) { on_changes_response(std::move(batch)); });
 }
 
@@ -101,11 +117,16 @@
         return;
     }
     on_call_succeeded();
-    if (batch->version < version_) {
-        request_changes(); // Sent before a newer version was adopted.
+    const bool is_same_era = batch->era == position_at_request_.era;
+    if (!is_same_era && position_ == position_at_request_) {
+        read_page(""); // The store was restored: changes after a version of another era.
+        return;
+    }
+    if (!is_same_era || batch->position() < position_) {
+        request_changes(); // Sent before newer contents were adopted.
         return;
     }
-    version_ = batch->version;
+    position_ = batch->position();
     if (!batch->rows.empty()) {
         observer_.on_changes(batch->rows);
     }
@@ -118,19 +139,20 @@
 }
 
 bool table_follower::adopt(const row_batch& batch) {
-    if (batch.version <= version_) {
+    if (batch.position() <= position_) {
         return false;
     }
-    version_ = batch.version;
-    observer_.on_snapshot(batch.rows, version_);
+    position_ = batch.position();
+    observer_.on_snapshot(batch.rows, position_);
     return true;
 }
 
 bool table_follower::adopt_changes(const row_batch& batch, row_version after) {
-    if (batch.version <= version_ || after > version_) {
+    if (batch.era != position_.era || batch.version <= position_.version ||
+        after > position_.version) {
         return false;
     }
-    version_ = batch.version;
+    position_ = batch.position();
     observer_.on_changes(batch.rows);
     return true;
 }
--- a/tests/node/peer_exchange_test.cc
+++ b/tests/node/peer_exchange_test.cc
@@ -156,3 +156,20 @@
     CHECK(with_many_peers <= 9);
     CHECK(fixture.peers->silence_limit() > micros{3'600'000});
 }
+
+TEST_CASE("live peers whose rows a restored store lacks stay in the directory") {
+    peers_fixture fixture;
+    fixture.peers->on_snapshot({}, {store_era(1), row_version(5)});
+    fixture.add_row("n2", "10.0.0.2:80");
+    fixture.receive_heartbeat("n2");
+    fixture.add_row("n3", "10.0.0.3:80");
+    REQUIRE(fixture.directory_addresses().contains("10.0.0.2"));
+    fixture.peers->on_snapshot({}, {store_era(2), row_version(1)});
+    CHECK(fixture.directory_addresses().contains("10.0.0.2"));
+    // The node writes its own row again.
+    fixture.advance(millis{100});
+    CHECK(fixture.store.rows(peer_exchange::table).contains("n1"));
+    // A peer that has ended since is forgotten, as if its row had been removed.
+    fixture.advance(millis{10'000});
+    CHECK(fixture.state->nodes == 1);
+}
--- a/tests/node/peer_messages_test.cc
+++ b/tests/node/peer_messages_test.cc
@@ -24,6 +24,7 @@
 TEST_CASE("rows with arbitrary bytes decode to the same values, and truncated ones are rejected") {
     table_rows rows;
     rows.batch.version = row_version(9);
+    rows.batch.era = store_era(3);
     rows.batch.rows.push_back({"k", std::string("\xff\x00z", 3), row_version(8), false});
     rows.batch.rows.push_back({"gone", "", row_version(9), true});
     rows.changed_after = row_version(7);
@@ -31,6 +32,7 @@
     const auto decoded = decode_rows(bytes);
     REQUIRE(decoded.ok());
     CHECK(decoded->batch.version == rows.batch.version);
+    CHECK(decoded->batch.era == rows.batch.era);
     CHECK(decoded->changed_after == rows.changed_after);
     REQUIRE(decoded->batch.rows.size() == 2);
     CHECK(decoded->batch.rows[0].value == rows.batch.rows[0].value);
--- a/tests/node/shared_tables_test.cc
+++ b/tests/node/shared_tables_test.cc
@@ -108,3 +108,29 @@
     CHECK(run_until(
         fixture.loop, [&] { return fixture.event_count("server_seen") == 8; }, millis{2'000}));
 }
+
+TEST_CASE("a restored store's changes reach every node although their versions are known") {
+    cluster_fixture fixture(8);
+    fixture.register_server("i-1");
+    CHECK(run_until(
+        fixture.loop, [&] { return fixture.event_count("server_seen") == 8; },
+        max_propagation_time));
+    fixture.store.take_copy();
+    for (int i = 0; i < 5; ++i) {
+        fixture.store.put("servers", "other", "{}");
+    }
+    run_for(fixture.loop, millis{1'000});
+    fixture.store.restore();
+    fixture.register_server("i-2");
+    for (int i = 0; i < 9; ++i) {
+        fixture.store.put("elsewhere", "x", std::to_string(i));
+    }
+    CHECK(run_until(
+        fixture.loop, [&] { return fixture.event_count("server_seen") == 16; },
+        max_propagation_time));
+    CHECK(fixture.event_count("server_vanished") == 0);
+    const int before = fixture.store.change_calls_of_table["servers"];
+    run_for(fixture.loop, millis{3'000});
+    // Only the readers follow the table again.
+    CHECK(fixture.store.change_calls_of_table["servers"] - before <= 3 * 3);
+}
--- a/tests/store/table_follower_test.cc
+++ b/tests/store/table_follower_test.cc
@@ -20,7 +20,7 @@
     int recoveries = 0;
 
 protected:
-    void do_snapshot(const std::vector<stored_row>& all, row_version) override {
+    void do_snapshot(const std::vector<stored_row>& all, store_position) override {
         ++snapshots;
         rows.clear();
         do_changes(all);
@@ -124,11 +124,13 @@
     fixture.store.set_failure(absl::UnavailableError("overloaded"));
     fixture.advance(millis{500});
     row_batch newer;
+    newer.era = fixture.follower.position().era;
     newer.version = row_version(5);
     newer.rows.push_back({"b", "2", row_version(5), false});
     CHECK(fixture.follower.adopt(newer));
     CHECK(fixture.observer.rows == std::map<std::string, std::string>{{"b", "2"}});
     row_batch older;
+    older.era = newer.era;
     older.version = row_version(4);
     CHECK_FALSE(fixture.follower.adopt(older));
     CHECK(fixture.observer.rows.size() == 1);
@@ -159,6 +161,7 @@
     fixture.advance(millis{10});
     const row_version version = fixture.follower.version();
     row_batch batch;
+    batch.era = fixture.follower.position().era;
     batch.version = version + row_version(5);
     batch.rows.push_back({"b", "2", batch.version, false});
     CHECK_FALSE(fixture.follower.adopt_changes(batch, version + row_version(2)));
@@ -186,3 +189,91 @@
     CHECK_FALSE(fixture.follower.is_store_unavailable());
     CHECK(fixture.observer.recoveries == 1);
 }
+
+TEST_CASE("changes that a restored store makes under known versions are not missed") {
+    follower_fixture fixture;
+    fixture.store.put("t", "a", "1");
+    fixture.store.take_copy();
+    fixture.follower.start();
+    fixture.advance(millis{10});
+    for (int i = 0; i < 3; ++i) {
+        fixture.store.put("t", "b", std::to_string(i));
+    }
+    fixture.advance(millis{500});
+    fixture.store.restore();
+    fixture.store.put("t", "a", "2");
+    // The version rises past the known one before the follower calls again.
+    for (int i = 0; i < 5; ++i) {
+        fixture.store.put("other", "x", std::to_string(i));
+    }
+    fixture.advance(millis{2'000});
+    CHECK(fixture.observer.rows == std::map<std::string, std::string>{{"a", "2"}});
+}
+
+TEST_CASE("a restored store with a lower version than known is not read over and over") {
+    follower_fixture fixture;
+    fixture.store.put("t", "a", "1");
+    fixture.store.take_copy();
+    fixture.follower.start();
+    fixture.advance(millis{10});
+    fixture.store.put("t", "b", "1");
+    fixture.store.put("t", "b", "2");
+    fixture.advance(millis{500});
+    fixture.store.restore();
+    const int reads = fixture.store.reads;
+    fixture.advance(millis{5'000});
+    CHECK(fixture.observer.rows == std::map<std::string, std::string>{{"a", "1"}});
+    CHECK(fixture.store.reads - reads == 1);
+}
+
+TEST_CASE("a table of a later era is adopted under a lower version, one of an earlier era is not") {
+    follower_fixture fixture;
+    fixture.store.put("t", "a", "1");
+    fixture.store.put("t", "a", "2");
+    fixture.follower.set_following(false);
+    fixture.follower.start();
+    fixture.advance(millis{10});
+    row_batch restored;
+    restored.era = fixture.follower.position().era.next();
+    restored.version = row_version(1);
+    restored.rows.push_back({"a", "3", row_version(1), false});
+    CHECK(fixture.follower.adopt(restored));
+    CHECK(fixture.observer.rows["a"] == "3");
+    row_batch earlier;
+    earlier.era = fixture.store.era();
+    earlier.version = row_version(9);
+    CHECK_FALSE(fixture.follower.adopt(earlier));
+    CHECK_FALSE(fixture.follower.adopt_changes(earlier, row_version(1)));
+    CHECK(fixture.observer.rows["a"] == "3");
+}
+
+TEST_CASE("a follower does not stay with a peer's table of an era that the store never had") {
+    follower_fixture fixture;
+    fixture.store.put("t", "a", "1");
+    fixture.follower.start();
+    fixture.advance(millis{10});
+    row_batch invented;
+    invented.era = store_era(1'000);
+    invented.version = row_version(1'000);
+    invented.rows.push_back({"a", "9", row_version(1'000), false});
+    CHECK(fixture.follower.adopt(invented));
+    fixture.store.put("t", "a", "2");
+    fixture.advance(millis{1'000});
+    CHECK(fixture.observer.rows["a"] == "2");
+}
+
+TEST_CASE("a store whose reads lag behind its dropped history is not read without a pause") {
+    follower_fixture fixture;
+    fixture.store.put("t", "a", "1");
+    fixture.store.take_copy();
+    fixture.follower.start();
+    fixture.advance(millis{10});
+    fixture.store.put("t", "a", "2");
+    fixture.advance(millis{500});
+    fixture.store.set_stale_reads(true);
+    fixture.store.forget_history_at(row_version(1'000));
+    const int reads = fixture.store.reads;
+    fixture.advance(millis{5'000});
+    CHECK(fixture.store.reads - reads <= 30);
+    CHECK(fixture.observer.rows["a"] == "2");
+}
--- a/tests/support/fake_row_store.h
+++ b/tests/support/fake_row_store.h
@@ -33,6 +33,16 @@
     /// Commits are applied, but their answers are lost.
     void set_lose_answers(bool lose) { lose_answers_ = lose; }
     void forget_history() { history_from_ = version_; }
+    /// Refuses all reads of changes after versions before `from`, and cuts those that wait.
+    void forget_history_at(row_version from) {
+        history_from_ = from.value();
+        const std::list<waiting_call> calls = std::exchange(waiting_, {});
+        for (const waiting_call& call : calls) {
+            answer([handler = call.handler] { handler(absl::OutOfRangeError("history is gone")); });
+        }
+    }
+    /// Reads show the state of the copy.
+    void set_stale_reads(bool stale) { reads_are_stale_ = stale; }
     /// Keeps a copy of all rows, for `restore`.
     void take_copy() { copy_ = {tables_, changes_, version_}; }
     /// Goes back to the copy, in a new era. Calls that wait are cut off.
@@ -80,7 +90,11 @@
             return;
         }
         row_batch batch = empty_batch();
-        for (const auto& [key, row] : tables_[table]) {
+        auto& tables = reads_are_stale_ ? copy_.tables : tables_;
+        if (reads_are_stale_) {
+            batch.version = row_version(copy_.version);
+        }
+        for (const auto& [key, row] : tables[table]) {
             if (key >= from) {
                 batch.rows.push_back(row);
             }
@@ -214,6 +228,7 @@
     std::list<std::unique_ptr<timer_subscription>> timers_running_;
     absl::Status failure_;
     bool lose_answers_ = false;
+    bool reads_are_stale_ = false;
     std::uint64_t version_ = 0;
     std::uint64_t history_from_ = 0;
     std::uint64_t next_call_ = 0;
