--- a/include/jujubetide/serving/usage_ledger.h
+++ b/include/jujubetide/serving/usage_ledger.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace jujubetide {
@@ -44,12 +45,18 @@
     /// Counts of all nodes in a window.
     [[nodiscard]] usage_counts total(usage_window window) const;
 
+    /// Some node has stored the counts of the window, and may have reported them: no node may
+    /// report other ones. The newest `retained_windows` such windows are kept.
+    void settle(usage_window window);
+    [[nodiscard]] const std::set<usage_window>& settled() const { return settled_; }
+
 private:
     void trim(usage_window newest);
 
     millis length_;
     std::map<usage_window, usage_counts> own_;
     std::map<usage_window, std::map<std::pair<node_id, incarnation>, usage_counts>> peers_;
+    std::set<usage_window> settled_;
 };
 
 } // namespace jujubetide
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -156,6 +156,7 @@
     heartbeat.reaches_servers = !state_.links.are_lost();
     heartbeat.leaving_servers = state_.backends.notices().reports(state_.time.now());
     heartbeat.trials = state_.trials.reports();
+    heartbeat.settled_windows.assign(state_.usage.settled().begin(), state_.usage.settled().end());
     const std::string bytes = encode(heartbeat);
     for (const auto& [node, other] : peers_) {
         socket_->send(other.record.peers, bytes);
@@ -214,6 +215,12 @@
     for (const auto& [window, counts] : heartbeat->usage) {
         state_.usage.on_peer_counts(heartbeat->node, heartbeat->start, window, counts);
     }
+    const usage_window current = state_.usage.window_at(state_.time.wall_now());
+    for (const usage_window window : heartbeat->settled_windows) {
+        if (window < current) {
+            state_.usage.settle(window);
+        }
+    }
     state_.loads.set_peer(heartbeat->node, heartbeat->loads);
     for (const cached_prefix& reading : heartbeat->readings) {
         state_.prompts.on_prefix_cached(reading.key, reading.server, now);
--- a/src/node/peer_heartbeat.cc
+++ b/src/node/peer_heartbeat.cc
@@ -114,6 +114,11 @@
             heartbeat.table_eras.emplace_back(item.get<std::uint64_t>());
         }
     }
+    if (index < body.size()) {
+        for (const json& item : body.at(index++)) {
+            heartbeat.settled_windows.emplace_back(item.get<std::int64_t>());
+        }
+    }
 }
 
 } // namespace
@@ -127,6 +132,10 @@
     for (const store_era era : heartbeat.table_eras) {
         eras.push_back(era.value());
     }
+    json settled = json::array();
+    for (const usage_window window : heartbeat.settled_windows) {
+        settled.push_back(window.value());
+    }
     json spending = json::array();
     for (const customer_usage& item : heartbeat.spending) {
         spending.push_back({item.customer.str(), item.admitted, item.requested, item.level});
@@ -174,7 +183,8 @@
                        heartbeat.reaches_servers,
                        to_array(heartbeat.leaving_servers),
                        to_array(heartbeat.trials),
-                       std::move(eras)};
+                       std::move(eras),
+                       std::move(settled)};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
--- a/src/node/peer_heartbeat.h
+++ b/src/node/peer_heartbeat.h
@@ -61,6 +61,8 @@
     std::vector<trial_report> trials;
     /// The era of each of `table_versions`; empty from nodes of earlier releases.
     std::vector<store_era> table_eras;
+    /// Windows whose counts are stored and may have been reported.
+    std::vector<usage_window> settled_windows;
 };
 
 std::string encode(const peer_heartbeat& heartbeat);
--- a/src/node/usage_reporter.cc
+++ b/src/node/usage_reporter.cc
@@ -61,10 +61,14 @@
     if (is_busy_ || !state_.config) {
         return;
     }
-    if (!is_loaded_) {
+    if (!is_loaded_ || era_ != store_.era()) {
         load();
         return;
     }
+    if (!missing_rows_.empty()) {
+        restore_rows();
+        return;
+    }
     const usage_window current = state_.usage.window_at(state_.time.wall_now());
     for (std::int64_t number = std::max(first_window_.value(), current.value() - max_windows_back);
          number < current.value(); ++number) {
@@ -76,6 +80,12 @@
             send(window);
             return;
         }
+        if (state_.usage.settled().contains(window)) {
+            if (is_lost(window)) {
+                continue;
+            }
+            return;
+        }
         if (is_complete(window)) {
             store_counts(window);
             return;
@@ -90,18 +100,65 @@
         if (!batch.ok()) {
             return; // The next step retries.
         }
-        is_loaded_ = true;
-        for (const stored_row& row : batch->rows) {
-            std::int64_t number = 0;
-            const auto counts = decode_counts(row.value);
-            if (absl::SimpleAtoi(row.key, &number) && counts.ok()) {
-                stored_counts_[usage_window(number)] = *counts;
-                first_window_ = std::min(first_window_, usage_window(number));
-            }
+        on_rows(*batch);
+    });
+}
+
+void usage_reporter::on_rows(const row_batch& batch) {
+    is_loaded_ = true;
+    era_ = batch.era;
+    missing_rows_.clear();
+    const usage_window current = state_.usage.window_at(state_.time.wall_now());
+    for (const auto& [window, counts] : stored_counts_) {
+        if (window.value() >= current.value() - max_windows_back) {
+            missing_rows_.insert(window);
         }
+    }
+    for (const stored_row& row : batch.rows) {
+        std::int64_t number = 0;
+        const auto counts = decode_counts(row.value);
+        if (!absl::SimpleAtoi(row.key, &number) || !counts.ok()) {
+            continue;
+        }
+        const usage_window window(number);
+        missing_rows_.erase(window);
+        // Counts that this node stored itself stand: it may have sent them.
+        stored_counts_.try_emplace(window, *counts);
+        first_window_ = std::min(first_window_, window);
+        state_.usage.settle(window);
+    }
+}
+
+void usage_reporter::restore_rows() {
+    row_transaction transaction;
+    for (const usage_window window : missing_rows_) {
+        const std::string key = absl::StrCat(window.value());
+        transaction.expected.push_back({table, key, row_version()});
+        transaction.puts.push_back({table, key, encode_counts(stored_counts_.at(window))});
+    }
+    is_busy_ = true;
+    store_.commit(transaction, [this](const absl::StatusOr<row_version>& done) {
+        is_busy_ = false;
+        if (!done.ok()) {
+            is_loaded_ = false; // The rows may be there.
+            return;
+        }
+        state_.log.write(usage_rows_restored, {{"rows", absl::StrCat(missing_rows_.size())}});
+        missing_rows_.clear();
     });
 }
 
+bool usage_reporter::is_lost(usage_window window) {
+    if (rechecked_windows_.insert(window).second) {
+        is_loaded_ = false; // Stored since the rows were loaded, or lost by a restore.
+        return false;
+    }
+    state_.log.write(usage_not_reported, {{"window", absl::StrCat(window.value())},
+                                          {"why", "the stored counts were lost"}});
+    reported_windows_.insert(window);
+    return true;
+}
+
 bool usage_reporter::is_complete(usage_window window) const {
     const millis since_end =
         std::chrono::duration_cast<millis>(state_.time.wall_now() - state_.usage.end_of(window));
@@ -127,6 +184,9 @@
         is_busy_ = false;
         if (done.ok()) {
             stored_counts_[window] = counts;
+            state_.usage.settle(window);
+            // A restore may remove the row, and this node end, before the next heartbeat.
+            peers_.send_heartbeat();
             send(window);
         } else {
             // The row may exist: written by another lease holder, or by a write whose response was
@@ -157,6 +217,8 @@
             const usage_window oldest(window.value() - row_lifetime_windows);
             std::erase_if(reported_windows_,
                           [oldest](usage_window reported) { return reported < oldest; });
+            std::erase_if(rechecked_windows_,
+                          [oldest](usage_window checked) { return checked < oldest; });
             std::erase_if(stored_counts_,
                           [oldest](const auto& item) { return item.first < oldest; });
         });
--- a/src/node/usage_reporter.h
+++ b/src/node/usage_reporter.h
@@ -10,7 +10,9 @@
 namespace jujubetide {
 
 /// Reports each window's usage while this node holds the duties. The counts are written to the
-/// store before they are sent, so that any node that repeats a report sends the same counts.
+/// store before they are sent, so that any node that repeats a report sends the same counts. Counts
+/// that a restore removed from the store are written again by the holder; a window that was stored,
+/// but whose counts are gone, is not reported any more.
 class usage_reporter {
 public:
     static constexpr const char* table = "jujubetide-usage";
@@ -24,6 +26,11 @@
 private:
     void step();
     void load();
+    void on_rows(const row_batch& batch);
+    /// Writes rows again that a restore removed.
+    void restore_rows();
+    /// Whether the counts of the window were stored by another node and cannot be found.
+    bool is_lost(usage_window window);
     [[nodiscard]] bool is_complete(usage_window window) const;
     void store_counts(usage_window window);
     void send(usage_window window);
@@ -37,6 +44,12 @@
     /// Counts that are in the store.
     std::map<usage_window, usage_counts> stored_counts_;
     std::set<usage_window> reported_windows_;
+    /// Windows of `stored_counts_` whose rows the store does not have.
+    std::set<usage_window> missing_rows_;
+    /// Settled windows without a row for which the rows were read again.
+    std::set<usage_window> rechecked_windows_;
+    /// The store's era when its rows were loaded.
+    store_era era_;
     bool is_loaded_ = false;
     bool is_busy_ = false;
     std::unique_ptr<timer_subscription> timer_;
--- a/src/serving/usage_ledger.cc
+++ b/src/serving/usage_ledger.cc
@@ -50,6 +50,13 @@
     return sum;
 }
 
+void usage_ledger::settle(usage_window window) {
+    settled_.insert(window);
+    while (settled_.size() > static_cast<std::size_t>(retained_windows)) {
+        settled_.erase(settled_.begin());
+    }
+}
+
 void usage_ledger::trim(usage_window newest) {
     const usage_window oldest(newest.value() - retained_windows);
     std::erase_if(own_, [oldest](const auto& item) { return item.first < oldest; });
--- a/tests/node/duties_test.cc
+++ b/tests/node/duties_test.cc
@@ -296,3 +296,48 @@
         numbers.insert(*first->lease.permit());
     }
 }
+
+TEST_CASE("usage counts that a restore removed are written again as they were reported") {
+    duty_fixture fixture;
+    auto first = fixture.make("n1", 1);
+    fixture.advance(millis{3'100});
+    fixture.store.take_copy();
+    const usage_window window = first->state.usage.window_at(fixture.time.wall_now());
+    first->state.usage.count(customer, fixture.time.wall_now());
+    fixture.advance(millis{8'000});
+    const std::string key = std::to_string(window.value());
+    REQUIRE(fixture.store.rows(usage_reporter::table).contains(key));
+    const std::string stored = fixture.store.rows(usage_reporter::table).at(key).value;
+    fixture.store.restore();
+    REQUIRE_FALSE(fixture.store.rows(usage_reporter::table).contains(key));
+    first->state.usage.on_peer_counts(node_id("late"), incarnation(1), window, {{customer, 5}});
+    fixture.advance(millis{3'000});
+    REQUIRE(fixture.store.rows(usage_reporter::table).contains(key));
+    CHECK(fixture.store.rows(usage_reporter::table).at(key).value == stored);
+}
+
+TEST_CASE("a window that another node reported is not reported with other counts after a restore") {
+    duty_fixture fixture;
+    auto first = fixture.make("n1", 1);
+    const auto second = fixture.make("n2", 2);
+    fixture.advance(millis{3'100});
+    REQUIRE(first->lease.is_held());
+    fixture.store.take_copy();
+    const usage_window window = first->state.usage.window_at(fixture.time.wall_now());
+    first->state.usage.count(customer, fixture.time.wall_now());
+    fixture.advance(millis{8'000});
+    REQUIRE(std::any_of(first->calls.reports.begin(), first->calls.reports.end(),
+                        [&](const auto& report) { return report.window == window; }));
+    // The heartbeat with which the first node tells of it.
+    for (const usage_window settled : first->state.usage.settled()) {
+        second->state.usage.settle(settled);
+    }
+    fixture.store.restore();
+    first.reset();
+    second->state.usage.on_peer_counts(node_id("late"), incarnation(1), window, {{customer, 5}});
+    fixture.advance(millis{9'000});
+    REQUIRE(second->lease.is_held());
+    CHECK(std::none_of(second->calls.reports.begin(), second->calls.reports.end(),
+                       [&](const auto& report) { return report.window == window; }));
+    CHECK_FALSE(second->calls.reports.empty());
+}
