--- a/tests/node/node_process.cc
+++ b/tests/node/node_process.cc
@@ -27,9 +27,10 @@
 
 } // namespace
 
-node_process::node_process(std::filesystem::path folder, int index, const endpoint& store)
+node_process::node_process(std::filesystem::path folder, int index, const endpoint& store,
+                           const std::optional<endpoint>& cloud)
     : folder_(std::move(folder)), name_("n" + std::to_string(index)), address_(address_of(index)) {
-    write_settings(store);
+    write_settings(store, cloud);
 }
 
 node_process::~node_process() {
@@ -51,14 +52,18 @@
     return {address_, readiness_port};
 }
 
-void node_process::write_settings(const endpoint& store) const {
+void node_process::write_settings(const endpoint& store,
+                                  const std::optional<endpoint>& cloud) const {
+    const std::string duties = cloud ? "[cloud]\naddress = \"" + cloud->str() +
+                                           "\"\nduties = [\"usage_report\", \"autoscale\"]\n"
+                                     : "";
     std::ofstream(file(".toml")) << "nodeName = \"" << name_ << "\"\nip = \"" << address_
                                  << "\"\nzone = \"z1\"\nregion = \"r1\"\n"
                                  << "internalPorts = [7600, 7615]\n[listen]\nfront = \""
                                  << caller_endpoint().str() << "\"\nready = \""
                                  << readiness_endpoint().str() << "\"\ndirectory = \"" << address_
                                  << ":8220\"\n[platform]\naddress = \"" << store.str() << "\"\n"
-                                 << R"([limits]
+                                 << duties << R"([limits]
 cpuShare = 1.0
 cores = 1
 maxFds = 1000
--- a/tests/node/node_process.h
+++ b/tests/node/node_process.h
@@ -13,8 +13,10 @@
 /// object.
 class node_process {
 public:
-    /// `index` is from 1 to 250. Settings and log are written to `folder`.
-    node_process(std::filesystem::path folder, int index, const endpoint& store);
+    /// `index` is from 1 to 250. Settings and log are written to `folder`. With a `cloud`, the node
+    /// takes its turn in the duties.
+    node_process(std::filesystem::path folder, int index, const endpoint& store,
+                 const std::optional<endpoint>& cloud = std::nullopt);
     ~node_process();
     node_process(const node_process&) = delete;
     node_process& operator=(const node_process&) = delete;
@@ -27,7 +29,7 @@
     [[nodiscard]] endpoint readiness_endpoint() const;
 
 private:
-    void write_settings(const endpoint& store) const;
+    void write_settings(const endpoint& store, const std::optional<endpoint>& cloud) const;
     [[nodiscard]] std::filesystem::path file(const std::string& suffix) const;
 
     std::filesystem::path folder_;
--- a/tests/node/node_process_stop_test.cc
+++ b/tests/node/node_process_stop_test.cc
@@ -2,18 +2,17 @@
 // JUJUBETIDE_SOAK_SEED, JUJUBETIDE_SOAK_SECONDS and JUJUBETIDE_SOAK_CALLERS choose another run.
 #include "node_fixture.h"
 #include "node_process.h"
+#include "support/environment.h"
 #include "support/row_store_server.h"
 
 #include "jujubetide/http1/message_parser.h"
 #include "jujubetide/net/tcp_connection.h"
 
-#include <absl/strings/numbers.h>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <array>
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 #include <map>
 
@@ -33,12 +32,6 @@
 constexpr micros new_call_time{3'000'000};
 constexpr micros cut_time = grace_period * 5 / 6;
 
-std::uint64_t number_from_environment(const char* name, std::uint64_t default_value) {
-    const char* const text = std::getenv(name);
-    std::uint64_t number = 0;
-    return text != nullptr && absl::SimpleAtoi(text, &number) ? number : default_value;
-}
-
 /// The parts of the run that callers, servers and nodes share.
 struct soak_state {
     explicit soak_state(std::uint64_t seed) : random(seed) {}
