CONFIG: a node that starts before a restored store takes over its peers' newer configuration

What callers saw: nothing yet; a node that starts in the moment between a restore and the operators' next write would serve by the older configuration of the copy, its peers by the newer one.

Change: heartbeats tell the version of the configuration in force (new last field); a node that has been behind a live peer for half a second fetches that peer's row and applies it as one of the store. The configuration's own version decides, so that "restored, older" and "newer, by the operators" are told apart whatever the store's versions are. This also brings hosts together that notice a restore at different times.

Evidence: the new test fails with the fetch taken out (trial: the second node stays at version 3), and passes.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -143,7 +143,8 @@
         {{dependencies.tables.config_table, parts->config_follower, parts->config_mirror},
          {dependencies.tables.registration_table, parts->registration_follower,
           parts->registration_mirror},
-         {peer_exchange::table, *parts->peer_follower, *parts->peer_mirror}});
+         {peer_exchange::table, *parts->peer_follower, *parts->peer_mirror}},
+        parts->configs);
     if (!peer_answers.ok()) {
         return peer_answers.status();
     }
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -156,6 +156,7 @@
     heartbeat.reaches_servers = !state_.links.are_lost();
     heartbeat.leaving_servers = state_.backends.notices().reports(state_.time.now());
     heartbeat.trials = state_.trials.reports();
+    heartbeat.config_version = own_config_version();
     heartbeat.settled_windows.assign(state_.usage.settled().begin(), state_.usage.settled().end());
     const std::string bytes = encode(heartbeat);
     for (const auto& [node, other] : peers_) {
@@ -205,6 +206,7 @@
     sender.has_usage_history = heartbeat->has_usage_history;
     sender.table_changes = to_positions(heartbeat->table_versions, heartbeat->table_eras);
     sender.names_eras = !heartbeat->table_eras.empty();
+    sender.config_version = heartbeat->config_version;
     sender.demand = heartbeat->demand;
     if (heartbeat->holds_duties && on_peer_lease_) {
         if (const auto record = parse_lease_record(heartbeat->lease_record); record.ok()) {
@@ -234,7 +236,8 @@
             version_stopped,
             {{"service", stopped.service.str()}, {"version", stopped.to.str()}, {"from", "peer"}});
     }
-    if (on_newer_table_ && has_newer_table(sender)) {
+    if (on_newer_table_ &&
+        (has_newer_table(sender) || sender.config_version > own_config_version())) {
         on_newer_table_();
     }
 }
@@ -446,6 +449,21 @@
     });
 }
 
+std::uint64_t peer_exchange::own_config_version() const {
+    return state_.config ? state_.config->version() : 0;
+}
+
+std::optional<endpoint> peer_exchange::peer_with_newer_config() const {
+    const peer* newest = nullptr;
+    for (const auto& [node, other] : peers_) {
+        if (is_live(other) && other.config_version > own_config_version() &&
+            (newest == nullptr || other.config_version > newest->config_version)) {
+            newest = &other;
+        }
+    }
+    return newest == nullptr ? std::nullopt : std::optional(newest->record.peers);
+}
+
 bool peer_exchange::has_peer_holding_duties() const {
     return std::any_of(peers_.begin(), peers_.end(), [this](const auto& item) {
         return item.second.holds_duties && is_live(item.second);
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -84,6 +84,8 @@
     /// `known`.
     [[nodiscard]] std::optional<endpoint> peer_with_newer_table(std::size_t index,
                                                                 store_position known) const;
+    /// Address of a live peer that has a newer configuration in force than this node.
+    [[nodiscard]] std::optional<endpoint> peer_with_newer_config() const;
     /// Whether a live peer holds the duty lease.
     [[nodiscard]] bool has_peer_holding_duties() const;
     /// Whether all live nodes have sent a heartbeat since `since`.
@@ -123,6 +125,7 @@
         std::vector<store_position> table_changes;
         /// Of a release that tells the eras of its tables.
         bool names_eras = false;
+        std::uint64_t config_version = 0;
         std::map<service_id, double> demand;
     };
 
@@ -142,6 +145,7 @@
     [[nodiscard]] int periods_per_heartbeat() const;
     [[nodiscard]] bool has_newer_table(const peer& other) const;
     [[nodiscard]] std::vector<store_position> own_table_changes() const;
+    [[nodiscard]] std::uint64_t own_config_version() const;
     [[nodiscard]] bool is_live(const peer& other) const;
 
     serving_state& state_;
--- a/src/node/peer_heartbeat.cc
+++ b/src/node/peer_heartbeat.cc
@@ -119,6 +119,9 @@
             heartbeat.settled_windows.emplace_back(item.get<std::int64_t>());
         }
     }
+    if (index < body.size()) {
+        heartbeat.config_version = body.at(index++).get<std::uint64_t>();
+    }
 }
 
 } // namespace
@@ -184,7 +187,8 @@
                        to_array(heartbeat.leaving_servers),
                        to_array(heartbeat.trials),
                        std::move(eras),
-                       std::move(settled)};
+                       std::move(settled),
+                       heartbeat.config_version};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
--- a/src/node/peer_heartbeat.h
+++ b/src/node/peer_heartbeat.h
@@ -63,6 +63,8 @@
     std::vector<store_era> table_eras;
     /// Windows whose counts are stored and may have been reported.
     std::vector<usage_window> settled_windows;
+    /// Version of the configuration in force; 0 before the first.
+    std::uint64_t config_version = 0;
 };
 
 std::string encode(const peer_heartbeat& heartbeat);
--- a/src/node/peer_service.cc
+++ b/src/node/peer_service.cc
@@ -13,6 +13,7 @@
 
 constexpr const char* usage_path = "/usage";
 constexpr const char* rows_path = "/rows/";
+constexpr const char* config_path = "/config";
 /// Follows the table's name in a request for the rows that changed after a version.
 constexpr const char* after_query = "?after=";
 /// Follows the version; nodes of earlier releases leave it out.
@@ -44,9 +45,12 @@
 
 } // namespace
 
-absl::StatusOr<std::unique_ptr<peer_service>>
-peer_service::make(serving_state& state, peer_exchange& peers, std::vector<shared_table> tables) {
-    std::unique_ptr<peer_service> result(new peer_service(state, peers, std::move(tables)));
+absl::StatusOr<std::unique_ptr<peer_service>> peer_service::make(serving_state& state,
+                                                                 peer_exchange& peers,
+                                                                 std::vector<shared_table> tables,
+                                                                 config_observer& configs) {
+    std::unique_ptr<peer_service> result(
+        new peer_service(state, peers, std::move(tables), configs));
     auto server = http1_server::make(state.loop, state.time, state.settings.peer_endpoint, *result);
     if (!server.ok()) {
         return server.status();
@@ -56,9 +60,9 @@
 }
 
 peer_service::peer_service(serving_state& state, peer_exchange& peers,
-                           std::vector<shared_table> tables)
-    : state_(state), peers_(peers), tables_(std::move(tables)), forwarder_(state),
-      lagging_since_(tables_.size()) {}
+                           std::vector<shared_table> tables, config_observer& configs)
+    : state_(state), peers_(peers), tables_(std::move(tables)), configs_(configs),
+      forwarder_(state), lagging_since_(tables_.size()) {}
 
 void peer_service::start() {
     started_ = state_.time.now();
@@ -80,6 +84,35 @@
             return;
         }
     }
+    fetch_config();
+}
+
+bool peer_service::fetch_config() {
+    const std::optional<endpoint> newer = peers_.peer_with_newer_config();
+    if (!newer) {
+        config_lagging_since_.reset();
+        return false;
+    }
+    const time_point now = state_.time.now();
+    if (!config_lagging_since_) {
+        config_lagging_since_ = now;
+    }
+    // The store is about to show it to this node too, unless it was restored.
+    if (now - *config_lagging_since_ < max_table_lag) {
+        return false;
+    }
+    fetch(*newer, config_path, [this](const std::string& body) {
+        const auto rows = decode_rows(body);
+        if (!rows.ok()) {
+            state_.log.write(peer_message_rejected,
+                             {{"why", std::string(rows.status().message())}});
+            return;
+        }
+        for (const stored_row& row : rows->batch.rows) {
+            configs_.apply(row);
+        }
+    });
+    return true;
 }
 
 void peer_service::fetch_usage() {
@@ -180,6 +213,14 @@
             encode(state_.usage.records(state_.settings.node, peers_.own_incarnation())));
         return nullptr;
     }
+    if (head.target == config_path) {
+        table_rows rows;
+        if (configs_.row_in_force()) {
+            rows.batch.rows.push_back(*configs_.row_in_force());
+        }
+        exchange->respond(ok_status, {}, encode(rows));
+        return nullptr;
+    }
     if (const auto rows = find_rows(head.target)) {
         exchange->respond(ok_status, {}, encode(*rows));
         return nullptr;
--- a/src/node/peer_service.h
+++ b/src/node/peer_service.h
@@ -4,6 +4,7 @@
 #include "node/peer_exchange.h"
 #include "node/peer_messages.h"
 #include "node/row_mirror.h"
+#include "node/table_observers.h"
 
 #include "jujubetide/http1/http1_server.h"
 
@@ -15,8 +16,9 @@
 namespace jujubetide {
 
 /// Serves to peers, and fetches from them, the usage counts of all nodes, needed by a node that has
-/// just started, and the shared tables, needed by nodes that do not follow the store or cannot
-/// reach it. Passes attempts of peers on to the backend servers.
+/// just started, the shared tables, needed by nodes that do not follow the store or cannot reach
+/// it, and the newest configuration that any of them has in force. Passes attempts of peers on to
+/// the backend servers.
 class peer_service final : public http1_handler {
 public:
     /// A table that peers may fetch from this node and this node from them.
@@ -27,8 +29,10 @@
     };
 
     /// The arguments must outlive the service. Errors as for `http1_server::make`.
-    static absl::StatusOr<std::unique_ptr<peer_service>>
-    make(serving_state& state, peer_exchange& peers, std::vector<shared_table> tables);
+    static absl::StatusOr<std::unique_ptr<peer_service>> make(serving_state& state,
+                                                              peer_exchange& peers,
+                                                              std::vector<shared_table> tables,
+                                                              config_observer& configs);
 
     void start();
     /// Starts the next fetch that is due, if none is running; to be called when a peer has newer
@@ -49,8 +53,12 @@
     [[nodiscard]] std::string do_error_body(int status) const override;
 
 private:
-    peer_service(serving_state& state, peer_exchange& peers, std::vector<shared_table> tables);
+    peer_service(serving_state& state, peer_exchange& peers, std::vector<shared_table> tables,
+                 config_observer& configs);
     void fetch_usage();
+    /// Fetches the configuration of a peer that has a newer one: a restored store may show an older
+    /// one to a node that starts. Returns whether there is one to fetch.
+    bool fetch_config();
     /// Whether the table's changes are to be fetched from a peer now.
     bool should_fetch_from_peer(std::size_t index, bool has_newer);
     bool fetch_table(std::size_t index);
@@ -63,9 +71,11 @@
     serving_state& state_;
     peer_exchange& peers_;
     std::vector<shared_table> tables_;
+    config_observer& configs_;
     call_forwarder forwarder_;
     /// Since when a peer has had a newer change, for each table.
     std::vector<std::optional<time_point>> lagging_since_;
+    std::optional<time_point> config_lagging_since_;
     std::unique_ptr<http1_server> server_;
     std::unique_ptr<buffered_call> running_fetch_;
     time_point started_{};
--- a/src/node/table_observers.cc
+++ b/src/node/table_observers.cc
@@ -62,6 +62,7 @@
         return;
     }
     state_.config = serving_config::make(*std::move(parts));
+    row_in_force_ = row;
     state_.log.write(config_in_force, {{"config", std::to_string(state_.config->version())},
                                        {"before", std::to_string(previous)},
                                        {"routes", std::to_string(state_.config->routes().size())}});
--- a/src/node/table_observers.h
+++ b/src/node/table_observers.h
@@ -6,6 +6,7 @@
 #include "jujubetide/store/table_follower.h"
 
 #include <functional>
+#include <optional>
 
 namespace jujubetide {
 
@@ -17,6 +18,12 @@
     config_observer(serving_state& state, const row_decoder& decoder, platform_table_names tables,
                     std::function<void()> on_change);
 
+    /// The row of the configuration in force, whatever the store shows since; empty before the
+    /// first.
+    [[nodiscard]] const std::optional<stored_row>& row_in_force() const { return row_in_force_; }
+    /// Applies the row of a configuration if it is newer than the one in force.
+    void apply(const stored_row& row);
+
 protected:
     void do_snapshot(const std::vector<stored_row>& rows, store_position) override {
         do_changes(rows);
@@ -26,13 +33,13 @@
     void do_store_recovered() override;
 
 private:
-    void apply(const stored_row& row);
     void apply_move_order(const stored_row& row);
 
     serving_state& state_;
     const row_decoder& decoder_;
     platform_table_names tables_;
     std::function<void()> on_change_;
+    std::optional<stored_row> row_in_force_;
 };
 
 /// Keeps the list of backend servers in line with their registrations.
--- a/tests/node/peer_heartbeat_test.cc
+++ b/tests/node/peer_heartbeat_test.cc
@@ -32,10 +32,12 @@
     heartbeat.trials = {{service_id("s"), version_id("v2"), 7, true}};
     heartbeat.table_eras = {store_era(2), store_era(1)};
     heartbeat.settled_windows = {usage_window(8), usage_window(9)};
+    heartbeat.config_version = 17;
     const auto decoded = decode_heartbeat(encode(heartbeat));
     REQUIRE(decoded.ok());
     CHECK(decoded->table_eras == heartbeat.table_eras);
     CHECK(decoded->settled_windows == heartbeat.settled_windows);
+    CHECK(decoded->config_version == 17);
     REQUIRE(decoded->trials.size() == 1);
     CHECK(decoded->trials[0].service == service_id("s"));
     CHECK(decoded->trials[0].version == version_id("v2"));
@@ -88,9 +90,10 @@
     heartbeat.trials = {{service_id("s"), version_id("v2"), 7, true}};
     heartbeat.table_eras = {store_era(2)};
     heartbeat.settled_windows = {usage_window(8)};
+    heartbeat.config_version = 17;
     const std::string encoded = encode(heartbeat);
     const auto list = nlohmann::json::from_msgpack(encoded);
-    for (const std::size_t missing : {0U, 1U, 2U, 3U, 4U, 5U, 6U, 7U}) {
+    for (const std::size_t missing : {0U, 1U, 2U, 3U, 4U, 5U, 6U, 7U, 8U}) {
         nlohmann::json earlier = nlohmann::json::array();
         for (std::size_t i = 0; i + missing < list.size(); ++i) {
             earlier.push_back(list[i]);
@@ -100,13 +103,14 @@
             decode_heartbeat({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
         REQUIRE(decoded.ok());
         CHECK(decoded->node == node_id("n1"));
-        CHECK(decoded->settled_windows.size() == (missing < 1 ? 1 : 0));
-        CHECK(decoded->table_eras.size() == (missing < 2 ? 1 : 0));
-        CHECK(decoded->trials.size() == (missing < 3 ? 1 : 0));
-        CHECK(decoded->leaving_servers.size() == (missing < 4 ? 1 : 0));
-        CHECK(decoded->reaches_servers == (missing >= 5));
-        CHECK(decoded->server_limits.size() == (missing < 6 ? 1 : 0));
-        CHECK(decoded->suspicions.size() == (missing < 7 ? 1 : 0));
+        CHECK(decoded->config_version == (missing < 1 ? 17 : 0));
+        CHECK(decoded->settled_windows.size() == (missing < 2 ? 1 : 0));
+        CHECK(decoded->table_eras.size() == (missing < 3 ? 1 : 0));
+        CHECK(decoded->trials.size() == (missing < 4 ? 1 : 0));
+        CHECK(decoded->leaving_servers.size() == (missing < 5 ? 1 : 0));
+        CHECK(decoded->reaches_servers == (missing >= 6));
+        CHECK(decoded->server_limits.size() == (missing < 7 ? 1 : 0));
+        CHECK(decoded->suspicions.size() == (missing < 8 ? 1 : 0));
     }
 }
 
--- a/tests/node/shared_tables_test.cc
+++ b/tests/node/shared_tables_test.cc
@@ -134,3 +134,32 @@
     // Only the readers follow the table again.
     CHECK(fixture.store.change_calls_of_table["servers"] - before <= 3 * 3);
 }
+
+TEST_CASE("a node that starts before a restored store takes over its peers' newer configuration") {
+    event_loop loop;
+    const boot_clock time;
+    fake_row_store store{loop};
+    store.put("op", "config", config_of_test(3, nlohmann::json::object()));
+    store.take_copy();
+    store.put("op", "config", config_of_test(4, nlohmann::json::object()));
+    std::vector<std::unique_ptr<cluster_member>> members;
+    members.push_back(std::make_unique<cluster_member>(loop, time, store, 0));
+    REQUIRE(run_until(loop, [&] { return members[0]->log.count("config_in_force") == 1; }));
+    store.restore();
+    members.push_back(std::make_unique<cluster_member>(loop, time, store, 1));
+    const auto newest = [&](const cluster_member& member) {
+        std::string version;
+        for (const auto& line : member.log.lines) {
+            version = line.name == "config_in_force" ? line.fields.at("config") : version;
+        }
+        return version;
+    };
+    CHECK(run_until(
+        loop, [&] { return newest(*members[1]) == "4"; }, millis{4'000}));
+    CHECK(newest(*members[0]) == "4");
+    // The operators' next write counts at once.
+    store.put("op", "config", config_of_test(5, nlohmann::json::object()));
+    CHECK(run_until(
+        loop, [&] { return newest(*members[0]) == "5" && newest(*members[1]) == "5"; },
+        max_propagation_time));
+}
