Tests for two reports of other operators: heads cut in the middle, requests late in a planned stop

"An engine stopped in the middle of its answer's head and closed; clients got a 200, framed as whole": the test of truncated answers now ends the answer after every byte of the head, not every 16th (closed and reset, three framings, four kinds of call). It passes: the fault can't happen here at any of these positions.

"Requests late in the grace of a planned stop were taken, passed on, and cut": a node takes requests for 2.5 s after the signal and refuses what comes later as not run, on open connections too; what still runs at the end gets a final status. The test of a late request now also sends one that may run once, and checks that no server was reached. It passes without a change of the node.

--- a/tests/node/broken_answers_test.cc
+++ b/tests/node/broken_answers_test.cc
@@ -74,14 +74,13 @@
     CHECK(fixture.server.requests() == 1);
 }
 
-/// Checks the answers that end after each position of the body, and after some of the head.
+/// Checks the answers that end after each position of the head and the body.
 void check_all_endings(const std::vector<answer_shape>& shapes, const std::string& path,
                        const std::string& service) {
     ending_fixture fixture(service);
-    constexpr std::size_t head_step = 16;
     for (const answer_shape& shape : shapes) {
         const std::size_t head = shape.head.size();
-        for (std::size_t length = 0; length < head; length += head_step) {
+        for (std::size_t length = 0; length < head; ++length) {
             check_ending(fixture, path, shape, length, ending::closed, false);
             check_ending(fixture, path, shape, length, ending::reset, false);
         }
--- a/tests/node/node_stop_test.cc
+++ b/tests/node/node_stop_test.cc
@@ -78,6 +78,34 @@
 /// Time after the stop signal at which the node takes no more calls.
 constexpr millis accept_time{2'500};
 
+/// Sends a request to `path` on a connection that a stream has kept open until then.
+void check_late_request_is_refused(const std::string& path) {
+    node_fixture fixture;
+    fixture.start({{"stream", {{"timeoutMs", 20'000}}}});
+    scripted_server& server = fixture.add_server("i-1", "model", [](scripted_call& call) {
+        begin_events(call);
+        call.exchange->write(event_text(1));
+    });
+    scripted_server& plain =
+        fixture.add_server("i-2", "plain", [](scripted_call& call) { answer(call, 200, "ok"); });
+    kept_connection caller(fixture.loop, fixture.tested->caller_endpoint());
+    caller.send(request_of_test("/stream/", {}));
+    REQUIRE(run_until(fixture.loop, [&] { return server.calls().size() == 1; }));
+    run_for(fixture.loop, millis{50});
+    fixture.tested->begin_stop();
+    const auto end_of_stream =
+        fixture.loop.once(accept_time + millis{50}, [&] { server.calls()[0]->exchange->finish(); });
+    const auto next_request = fixture.loop.once(accept_time + millis{100},
+                                                [&] { caller.send(request_of_test(path, {})); });
+    run_to_the_end(fixture);
+    CHECK(caller.answers("200") == 1);
+    CHECK(caller.received.find("0\r\n\r\n") != std::string::npos); // The stream's end.
+    CHECK(caller.answers("503") == 1);
+    CHECK(server.calls().size() == 1);
+    CHECK(plain.calls().empty());
+    CHECK(caller.is_closed);
+}
+
 } // namespace
 
 TEST_CASE("a request that arrives in the turn of the loop that ends the stop is not begun") {
@@ -105,27 +133,11 @@
 }
 
 TEST_CASE("a request long after the stop signal is not begun on a connection that is still open") {
-    node_fixture fixture;
-    fixture.start({{"stream", {{"timeoutMs", 20'000}}}});
-    scripted_server& server = fixture.add_server("i-1", "model", [](scripted_call& call) {
-        begin_events(call);
-        call.exchange->write(event_text(1));
-    });
-    kept_connection caller(fixture.loop, fixture.tested->caller_endpoint());
-    caller.send(request_of_test("/stream/", {}));
-    REQUIRE(run_until(fixture.loop, [&] { return server.calls().size() == 1; }));
-    run_for(fixture.loop, millis{50});
-    fixture.tested->begin_stop();
-    const auto end_of_stream =
-        fixture.loop.once(accept_time + millis{50}, [&] { server.calls()[0]->exchange->finish(); });
-    const auto next_request = fixture.loop.once(
-        accept_time + millis{100}, [&] { caller.send(request_of_test("/stream/", {})); });
-    run_to_the_end(fixture);
-    CHECK(caller.answers("200") == 1);
-    CHECK(caller.received.find("0\r\n\r\n") != std::string::npos); // The stream's end.
-    CHECK(caller.answers("503") == 1);
-    CHECK(server.calls().size() == 1);
-    CHECK(caller.is_closed);
+    check_late_request_is_refused("/stream/");
+}
+
+TEST_CASE("a request that may run once and comes late in the grace period is refused as not run") {
+    check_late_request_is_refused("/once/");
 }
 
 TEST_CASE("a request that follows a stream's end during the stop is answered") {
