--- a/include/jujubetide/lease/lease_state.h
+++ b/include/jujubetide/lease/lease_state.h
@@ -110,23 +110,23 @@
     [[nodiscard]] bool may_be_held(time_point now) const;
 
     lease_options options_;
-    bool needs_read_ = true;
     /// The row as last seen, with the time at which this version was first seen.
     std::optional<lease_row> seen_;
     time_point seen_since_{};
     /// Writes whose replies were lost.
     std::vector<lease_write> unknown_writes_;
     std::uint64_t write_count_ = 0;
-    bool holds_ = false;
     fencing_number fencing_;
-    /// The holder's row may be gone from the table since a restore.
-    bool must_retake_ = false;
+    time_point taken_{};
+    time_point safe_until_{};
     /// The lease of a holder whose row a restore removed has ended by then.
     time_point unknown_holder_until_{};
+    bool needs_read_ = true;
+    bool holds_ = false;
+    /// The holder's row may be gone from the table since a restore.
+    bool must_retake_ = false;
     bool was_restored_ = false;
-    time_point taken_{};
     bool has_predecessor_ = false;
-    time_point safe_until_{};
 };
 
 /// The text of a row, and its reading; InvalidArgument where it is none.
--- a/tests/node/restored_store_test.cc
+++ b/tests/node/restored_store_test.cc
@@ -304,6 +304,7 @@
 
     std::vector<std::unique_ptr<scripted_server>> make_servers() {
         std::vector<std::unique_ptr<scripted_server>> made;
+        made.reserve(2);
         for (int i = 0; i < 2; ++i) {
             made.push_back(std::make_unique<scripted_server>(
                 loop_, time_, [](scripted_call& call) { answer(call, 200, "ok"); }));
