Settled usage windows take fewer bytes of a heartbeat

Each heartbeat goes to every peer several times a second. The windows are written as differences: some ten bytes instead of thirty. The heartbeat tests pass unchanged.

--- a/src/node/peer_heartbeat.cc
+++ b/src/node/peer_heartbeat.cc
@@ -115,8 +115,11 @@
         }
     }
     if (index < body.size()) {
+        // Unsigned, as any bytes may arrive.
+        std::uint64_t last = 0;
         for (const json& item : body.at(index++)) {
-            heartbeat.settled_windows.emplace_back(item.get<std::int64_t>());
+            last += static_cast<std::uint64_t>(item.get<std::int64_t>());
+            heartbeat.settled_windows.emplace_back(static_cast<std::int64_t>(last));
         }
     }
     if (index < body.size()) {
@@ -135,9 +138,12 @@
     for (const store_era era : heartbeat.table_eras) {
         eras.push_back(era.value());
     }
+    // The differences are shorter than the numbers.
     json settled = json::array();
+    usage_window before;
     for (const usage_window window : heartbeat.settled_windows) {
-        settled.push_back(window.value());
+        settled.push_back(window.value() - before.value());
+        before = window;
     }
     json spending = json::array();
     for (const customer_usage& item : heartbeat.spending) {
