--- a/include/jujubetide/store/row_store.h
+++ b/include/jujubetide/store/row_store.h
@@ -7,6 +7,7 @@
 #include <absl/status/statusor.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -70,9 +71,9 @@
     using commit_handler = std::function<void(absl::StatusOr<row_version>)>;
 
     virtual ~row_store() = default;
-    /// The newest era that the store has named in an answer. It is up to date when the handler of
-    /// that answer's call runs.
-    [[nodiscard]] store_era era() const { return do_era(); }
+    /// The newest era of the answers so far; nothing before the first answer. It is up to date when
+    /// the handler of that answer's call runs.
+    [[nodiscard]] std::optional<store_era> era() const { return do_era(); }
     /// Reads the rows of a table whose keys are `first_key` or greater.
     void read(const std::string& table, const std::string& first_key, batch_handler handler) {
         do_read(table, first_key, std::move(handler));
@@ -91,7 +92,7 @@
     row_store() = default;
     row_store(const row_store&) = default;
     row_store& operator=(const row_store&) = default;
-    [[nodiscard]] virtual store_era do_era() const = 0;
+    [[nodiscard]] virtual std::optional<store_era> do_era() const = 0;
     virtual void do_read(const std::string& table, const std::string& first_key,
                          batch_handler handler) = 0;
     virtual void do_changes(const std::string& table, row_version after, millis wait,
--- a/include/jujubetide/store/store_era.h
+++ b/include/jujubetide/store/store_era.h
@@ -6,7 +6,7 @@
 
 namespace jujubetide {
 
-/// Grows each time the store comes back from an older copy; 0 for a store that names no era.
+/// Grows each time the store comes back from an older copy; 0 while the store names no era.
 using store_era = strong_number<struct store_era_tag>;
 
 /// A state of the store. A restored store hands out versions again, so that versions can be
--- a/src/node/duty_lease.cc
+++ b/src/node/duty_lease.cc
@@ -68,19 +68,19 @@
 }
 
 void duty_lease::update_era() {
-    const store_era before = std::exchange(era_, store_.era());
+    const std::optional<store_era> before = std::exchange(era_, store_.era());
     if (before == era_) {
         return;
     }
-    numbers_ = {number_key(era_), {}, {}};
-    if (before != store_era()) {
+    numbers_ = {number_key(*era_), {}, {}};
+    if (before) {
         is_era_checked_ = true;
         lease_.table_restored(state_.time.now());
     }
 }
 
 fencing_number duty_lease::lowest_number() const {
-    return std::max(numbers_.highest.next(), first_number(era_));
+    return std::max(numbers_.highest.next(), first_number(era_.value_or(store_era())));
 }
 
 void duty_lease::step() {
@@ -118,7 +118,7 @@
 
 void duty_lease::on_rows(const row_batch& batch) {
     std::optional<lease_row> row;
-    numbers_ = {number_key(era_), {}, {}};
+    numbers_ = {number_key(*era_), {}, {}};
     old_number_rows_.clear();
     for (const stored_row& stored : batch.rows) {
         if (stored.key == key) {
@@ -184,7 +184,7 @@
     if (!update.takes) {
         return;
     }
-    numbers_ = {number_key(era_), update.record.fencing, version};
+    numbers_ = {number_key(*era_), update.record.fencing, version};
     old_number_rows_.clear();
     if (is_retaken) {
         state_.log.write(duty_retaken,
--- a/src/node/duty_lease.h
+++ b/src/node/duty_lease.h
@@ -55,8 +55,8 @@
     lease_state lease_;
     /// The row as last written or read.
     std::optional<lease_row> held_row_;
-    /// The era in which the lease is held or waited for; 0 before the first answer of the store.
-    store_era era_;
+    /// The era in which the lease is held or waited for; nothing before the store's first answer.
+    std::optional<store_era> era_;
     number_row numbers_;
     /// Keys of the number rows of earlier eras.
     std::vector<std::string> old_number_rows_;
--- a/src/node/instrumented_row_store.cc
+++ b/src/node/instrumented_row_store.cc
@@ -38,10 +38,10 @@
 }
 
 void instrumented_row_store::log_restore() {
-    const store_era before = std::exchange(known_era_, store_.era());
-    if (before != known_era_ && before != store_era()) {
-        log_.write(store_restored, {{"era", std::to_string(known_era_.value())},
-                                    {"before", std::to_string(before.value())}});
+    const std::optional<store_era> before = std::exchange(known_era_, store_.era());
+    if (before && before != known_era_) {
+        log_.write(store_restored, {{"era", std::to_string(known_era_->value())},
+                                    {"before", std::to_string(before->value())}});
     }
 }
 
--- a/src/node/instrumented_row_store.h
+++ b/src/node/instrumented_row_store.h
@@ -16,7 +16,7 @@
         : store_(store), metrics_(metrics), log_(log) {}
 
 protected:
-    [[nodiscard]] store_era do_era() const override { return store_.era(); }
+    [[nodiscard]] std::optional<store_era> do_era() const override { return store_.era(); }
     void do_read(const std::string& table, const std::string& from, batch_handler handler) override;
     void do_changes(const std::string& table, row_version after, millis wait,
                     batch_handler handler) override;
@@ -33,7 +33,7 @@
     serving_metrics& metrics_;
     log_sink& log_;
     /// As of the last answer.
-    store_era known_era_;
+    std::optional<store_era> known_era_;
 };
 
 } // namespace jujubetide
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -309,7 +309,7 @@
     now.brittle_servers = state.brittle.count();
     now.server_links_lost = state.links.are_lost();
     now.leaving_servers = state.backends.notices().count();
-    now.era = components_->store.era();
+    now.era = components_->store.era().value_or(store_era());
     return state.metrics.text(now);
 }
 
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -308,8 +308,8 @@
 
 void peer_exchange::do_snapshot(const std::vector<stored_row>& rows, store_position at) {
     // A restored store may lack the rows of live peers, which write them again.
-    const store_era era_before = std::exchange(table_era_, at.era);
-    const bool is_restored = era_before != at.era && era_before != store_era();
+    const std::optional<store_era> era_before = std::exchange(table_era_, at.era);
+    const bool is_restored = era_before && era_before != at.era;
     for (auto& [node, other] : peers_) {
         (is_restored ? other.is_row_lost : other.is_row_removed) = true;
     }
@@ -443,7 +443,8 @@
     return std::any_of(peers_.begin(), peers_.end(), [this](const auto& item) {
         const peer& other = item.second;
         // Without its eras, a peer's tables cannot be told to be newer than this node's.
-        const bool is_comparable = other.names_eras || store_.era() == store_era();
+        const bool is_comparable =
+            other.names_eras || store_.era().value_or(store_era()) == store_era();
         return is_comparable && other.follows_tables && other.reaches_store && is_live(other) &&
                !other.is_leaving;
     });
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -159,8 +159,8 @@
     bool reaches_store_ = true;
     bool follows_tables_ = false;
     std::function<std::vector<store_position>()> table_changes_;
-    /// The era of the last snapshot of the nodes' table.
-    store_era table_era_;
+    /// The era of the last snapshot of the nodes' table, if there was one.
+    std::optional<store_era> table_era_;
     std::function<void()> on_newer_table_;
     int periods_since_heartbeat_ = 0;
     int heartbeats_since_full_ = 0;
--- a/src/node/usage_reporter.h
+++ b/src/node/usage_reporter.h
@@ -49,7 +49,7 @@
     /// Settled windows without a row for which the rows were read again.
     std::set<usage_window> rechecked_windows_;
     /// The store's era when its rows were loaded.
-    store_era era_;
+    std::optional<store_era> era_;
     bool is_loaded_ = false;
     bool is_busy_ = false;
     std::unique_ptr<timer_subscription> timer_;
--- a/tests/adapter/platform_store_test.cc
+++ b/tests/adapter/platform_store_test.cc
@@ -67,11 +67,11 @@
 
 TEST_CASE("every answer of the store tells its era") {
     store_fixture fixture;
-    CHECK(fixture.store.era() == store_era());
+    CHECK_FALSE(fixture.store.era());
     CHECK(fixture.read(200, "3")->position() == store_position{store_era(3), row_version(5)});
     CHECK(fixture.store.era() == store_era(3));
     for (const int status : {410, 412, 429, 503}) {
-        const store_era next = fixture.store.era().next();
+        const store_era next = fixture.store.era()->next();
         CHECK_FALSE(fixture.read(status, std::to_string(next.value())).ok());
         CHECK(fixture.store.era() == next);
     }
--- a/tests/node/cluster_member.h
+++ b/tests/node/cluster_member.h
@@ -22,7 +22,7 @@
     [[nodiscard]] int change_calls() const { return change_calls_; }
 
 protected:
-    [[nodiscard]] store_era do_era() const override { return era_; }
+    [[nodiscard]] std::optional<store_era> do_era() const override { return era_; }
     void do_read(const std::string& table, const std::string& from,
                  batch_handler handler) override {
         if (open_) {
@@ -79,7 +79,7 @@
     event_loop& loop_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     bool open_ = true;
-    store_era era_;
+    std::optional<store_era> era_;
     std::string rewritten_table_;
     std::function<std::string(const std::string&)> rewrite_;
     int change_calls_ = 0;
--- a/tests/node/duties_test.cc
+++ b/tests/node/duties_test.cc
@@ -17,7 +17,7 @@
     void cut() { is_cut_ = true; }
 
 protected:
-    [[nodiscard]] store_era do_era() const override { return era_; }
+    [[nodiscard]] std::optional<store_era> do_era() const override { return era_; }
     void do_read(const std::string& table, const std::string& from,
                  batch_handler handler) override {
         if (!fails(handler)) {
@@ -60,7 +60,7 @@
     timer_service& timers_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     bool is_cut_ = false;
-    store_era era_;
+    std::optional<store_era> era_;
     std::vector<std::unique_ptr<timer_subscription>> answers_;
 };
 
@@ -118,6 +118,27 @@
 
 const customer_id customer("c");
 
+/// Restores the store at several moments before and after renewals of the lease.
+void check_holder_keeps_duties(store_era first_era) {
+    for (const int renewals : {0, 1, 5}) {
+        duty_fixture fixture;
+        fixture.store.set_first_era(first_era);
+        const auto holder = fixture.make("n1", 1);
+        fixture.advance(millis{3'000});
+        fixture.store.take_copy();
+        fixture.advance(millis{1'200} * renewals);
+        const fencing_number before = *holder->lease.permit();
+        fixture.store.restore();
+        const auto other = fixture.make("n2", 2);
+        for (int i = 0; i < 200; ++i) {
+            fixture.advance(millis{50});
+            CHECK(holder->lease.is_held());
+            CHECK_FALSE(other->lease.is_held());
+        }
+        CHECK(*holder->lease.permit() > before);
+    }
+}
+
 } // namespace
 
 TEST_CASE("one of two nodes holds the duties, and the other takes over after it ends") {
@@ -241,22 +262,11 @@
 }
 
 TEST_CASE("the holder keeps the duties through a restore, with a higher generation number") {
-    for (const int renewals : {0, 1, 5}) {
-        duty_fixture fixture;
-        const auto holder = fixture.make("n1", 1);
-        fixture.advance(millis{3'000});
-        fixture.store.take_copy();
-        fixture.advance(millis{1'200} * renewals);
-        const fencing_number before = *holder->lease.permit();
-        fixture.store.restore();
-        const auto other = fixture.make("n2", 2);
-        for (int i = 0; i < 200; ++i) {
-            fixture.advance(millis{50});
-            CHECK(holder->lease.is_held());
-            CHECK_FALSE(other->lease.is_held());
-        }
-        CHECK(*holder->lease.permit() > before);
-    }
+    check_holder_keeps_duties(store_era(1));
+}
+
+TEST_CASE("the first restore of a store that named no era before is noticed") {
+    check_holder_keeps_duties(store_era(0));
 }
 
 TEST_CASE("a node that starts after a restore does not take duties that are held") {
--- a/tests/store/table_follower_test.cc
+++ b/tests/store/table_follower_test.cc
@@ -240,7 +240,7 @@
     CHECK(fixture.follower.adopt(restored));
     CHECK(fixture.observer.rows["a"] == "3");
     row_batch earlier;
-    earlier.era = fixture.store.era();
+    earlier.era = *fixture.store.era();
     earlier.version = row_version(9);
     CHECK_FALSE(fixture.follower.adopt(earlier));
     CHECK_FALSE(fixture.follower.adopt_changes(earlier, row_version(1)));
--- a/tests/support/fake_row_store.h
+++ b/tests/support/fake_row_store.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,6 +44,7 @@
     }
     /// Reads show the state of the copy.
     void set_stale_reads(bool stale) { reads_are_stale_ = stale; }
+    void set_first_era(store_era era) { era_ = era; }
     /// Keeps a copy of all rows, for `restore`.
     void take_copy() { copy_ = {tables_, changes_, version_}; }
     /// Goes back to the copy, in a new era. Calls that wait are cut off.
@@ -81,7 +83,7 @@
     int commits = 0;
 
 protected:
-    [[nodiscard]] store_era do_era() const override { return answered_era_; }
+    [[nodiscard]] std::optional<store_era> do_era() const override { return answered_era_; }
     void do_read(const std::string& table, const std::string& from,
                  batch_handler handler) override {
         ++reads;
@@ -168,7 +170,7 @@
     void answer(std::function<void()> function) {
         timers_running_.push_back(
             timers_.once(millis{1}, [this, era = era_, function = std::move(function)] {
-                answered_era_ = std::max(answered_era_, era);
+                answered_era_ = std::max(answered_era_.value_or(era), era);
                 function();
             }));
     }
@@ -234,7 +236,7 @@
     std::uint64_t next_call_ = 0;
     store_era era_{1};
     /// The newest era that an answer has named.
-    store_era answered_era_;
+    std::optional<store_era> answered_era_;
     copy copy_;
 };
 
--- a/tests/support/row_store_server.cc
+++ b/tests/support/row_store_server.cc
@@ -44,14 +44,14 @@
     }
 }
 
-void respond(http1_exchange& exchange, store_era era, int status, const json& body) {
+void respond(http1_exchange& exchange, std::optional<store_era> era, int status, const json& body) {
     header_list headers;
     headers.add("Content-Type", "application/json");
-    headers.add("Store-Era", std::to_string(era.value()));
+    headers.add("Store-Era", std::to_string(era.value_or(store_era()).value()));
     exchange.respond(status, headers, body.dump());
 }
 
-void respond_with_rows(http1_exchange& exchange, store_era era,
+void respond_with_rows(http1_exchange& exchange, std::optional<store_era> era,
                        const absl::StatusOr<row_batch>& batch) {
     if (!batch.ok()) {
         respond(exchange, era, status_of(batch.status()), json::object());
