Servers that a restore lost stay usable while the store cannot take their registrations

Change: a server that a restore lost (not one whose row was removed) has its 1.9 s from the last moment at which the store was away or came back from a copy. Removed rows count as before: the users' rule binds a node that saw the removal.

The new test fails without the change (servers gone after the second restore) and passes with it.

--- a/include/jujubetide/serving/backend_list.h
+++ b/include/jujubetide/serving/backend_list.h
@@ -44,6 +44,11 @@
 
     void put(const backend_server& server);
     void remove(const backend_server_id& id, time_point now);
+    /// A restored registry lacks the server. It may be used, as the last resort, until the registry
+    /// has taken registrations for as long as a server needs to write its own again.
+    void lose(const backend_server_id& id, time_point now);
+    /// The registry takes no registrations: the time of lost servers starts anew.
+    void postpone_lost(time_point now);
     /// Removes the servers that did not register again in time and returns their ids.
     std::vector<backend_server_id> expire(time_point now);
     /// An answer of the server said that it leaves. Returns whether that was not known.
@@ -59,6 +64,8 @@
         bool has_leaving_notice = false;
         /// When the registration lapsed, if it has.
         std::optional<time_point> lapsed_at;
+        /// A restore removed the registration, not the server or its silence.
+        bool is_lost = false;
 
         [[nodiscard]] bool is_leaving() const { return server.leaving || has_leaving_notice; }
     };
--- a/src/node/serving_state.h
+++ b/src/node/serving_state.h
@@ -75,6 +75,8 @@
     /// Number of nodes that share the limits, including this one.
     std::size_t nodes = 1;
     bool stopping = false;
+    /// The store does not answer this node.
+    bool is_store_away = false;
     /// The stop began too long ago to complete further calls.
     bool refuses_calls = false;
     /// Calls without a final response yet; the set owns them.
--- a/src/node/table_observers.cc
+++ b/src/node/table_observers.cc
@@ -69,11 +69,14 @@
     on_change_();
 }
 
+// Each node follows the configuration itself, so that this tells of its own way to the store.
 void config_observer::do_store_unavailable(const absl::Status& status) {
+    state_.is_store_away = true;
     log_table_away(state_.log, tables_.config_table, status);
 }
 
 void config_observer::do_store_recovered() {
+    state_.is_store_away = false;
     log_table_back(state_.log, tables_.config_table);
 }
 
@@ -92,7 +95,9 @@
     return *std::move(server);
 }
 
-void registration_observer::do_snapshot(const std::vector<stored_row>& rows, store_position) {
+void registration_observer::do_snapshot(const std::vector<stored_row>& rows, store_position at) {
+    const std::optional<store_era> era_before = std::exchange(era_, at.era);
+    const bool is_restored = era_before && era_before != at.era;
     std::vector<backend_server> servers;
     for (const stored_row& row : rows) {
         if (auto server = decode(row)) {
@@ -103,14 +108,17 @@
         put(server);
     }
     for (const backend_server_id& id : state_.backends.missing_from(servers)) {
-        remove(id);
+        remove(id, is_restored);
+    }
+    if (is_restored) {
+        state_.backends.postpone_lost(state_.time.now()); // Another restore amid the first.
     }
 }
 
 void registration_observer::do_changes(const std::vector<stored_row>& rows) {
     for (const stored_row& row : rows) {
         if (row.removed) {
-            remove(backend_server_id(row.key));
+            remove(backend_server_id(row.key), false);
         } else if (const auto server = decode(row)) {
             put(*server);
         }
@@ -139,17 +147,24 @@
     state_.backends.put(server);
 }
 
-void registration_observer::remove(const backend_server_id& id) {
+void registration_observer::remove(const backend_server_id& id, bool is_lost) {
     const backend_list::entry* previous = state_.backends.find(id);
     if (previous == nullptr || previous->lapsed_at) {
         return;
     }
     state_.log.write(previous->is_leaving() ? server_gone : server_vanished,
                      {{"server", id.str()}});
-    state_.backends.remove(id, state_.time.now());
+    if (is_lost) {
+        state_.backends.lose(id, state_.time.now());
+    } else {
+        state_.backends.remove(id, state_.time.now());
+    }
 }
 
 void registration_observer::expire() {
+    if (state_.is_store_away) {
+        state_.backends.postpone_lost(state_.time.now());
+    }
     for (const backend_server_id& id : state_.backends.expire(state_.time.now())) {
         state_.health.forget(id);
         state_.prompts.forget(id);
--- a/src/node/table_observers.h
+++ b/src/node/table_observers.h
@@ -61,11 +61,14 @@
 private:
     [[nodiscard]] std::optional<backend_server> decode(const stored_row& row);
     void put(const backend_server& server);
-    void remove(const backend_server_id& id);
+    /// The server's row is gone: removed, or lost by a restore of the store.
+    void remove(const backend_server_id& id, bool is_lost);
 
     serving_state& state_;
     const row_decoder& decoder_;
     platform_table_names tables_;
+    /// The era of the last snapshot, if there was one.
+    std::optional<store_era> era_;
 };
 
 } // namespace jujubetide
--- a/src/serving/backend_list.cc
+++ b/src/serving/backend_list.cc
@@ -10,7 +10,7 @@
     if (found != entries_.end() && !server.leaving && found->second.server != server) {
         notices_.on_registered_anew(server.id);
     }
-    entries_[server.id] = {server, notices_.is_leaving(server.id), std::nullopt};
+    entries_[server.id] = {server, notices_.is_leaving(server.id), std::nullopt, false};
 }
 
 void backend_list::remove(const backend_server_id& id, time_point now) {
@@ -26,6 +26,25 @@
     }
 }
 
+void backend_list::lose(const backend_server_id& id, time_point now) {
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.lapsed_at) {
+        return;
+    }
+    remove(id, now);
+    if (const auto kept = entries_.find(id); kept != entries_.end()) {
+        kept->second.is_lost = true;
+    }
+}
+
+void backend_list::postpone_lost(time_point now) {
+    for (auto& [id, item] : entries_) {
+        if (item.is_lost) {
+            item.lapsed_at = now;
+        }
+    }
+}
+
 std::vector<backend_server_id> backend_list::expire(time_point now) {
     std::vector<backend_server_id> expired;
     std::erase_if(entries_, [&expired, now](const auto& item) {
--- a/tests/node/shared_tables_test.cc
+++ b/tests/node/shared_tables_test.cc
@@ -163,3 +163,29 @@
         loop, [&] { return newest(*members[0]) == "5" && newest(*members[1]) == "5"; },
         max_propagation_time));
 }
+
+TEST_CASE(
+    "servers that a restore lost stay usable while a second restore keeps them from registering") {
+    cluster_fixture fixture(4);
+    fixture.store.take_copy();
+    fixture.register_server("i-1");
+    CHECK(run_until(
+        fixture.loop, [&] { return fixture.event_count("server_seen") == 4; },
+        max_propagation_time));
+    for (int i = 0; i < 2; ++i) {
+        fixture.store.restore();
+        run_for(fixture.loop, millis{1'300});
+        fixture.store.set_failure(absl::UnavailableError("away"));
+        run_for(fixture.loop, millis{1'400});
+        fixture.store.set_failure(absl::OkStatus());
+    }
+    CHECK(fixture.event_count("server_gone") == 0);
+    fixture.register_server("i-1");
+    CHECK(run_until(
+        fixture.loop, [&] { return fixture.event_count("server_seen") == 8; },
+        max_propagation_time));
+    // Without a restore since, a lost server that does not register is gone as after an outage.
+    fixture.store.restore();
+    CHECK(run_until(
+        fixture.loop, [&] { return fixture.event_count("server_gone") == 4; }, millis{5'000}));
+}
