CONFIG, DRAIN: a row that was written again unchanged before it was replaced does not come back either

What callers would see: after a restore from a copy that holds the first version of a row which was written again with the same text and then replaced, a node takes the replaced row as current. Found by reading, not in a run of processes.

Cause: a mirror remembers replaced rows by key, version and text, but did so only where the text changed, so that the first version was not remembered.

Change: every version that another one follows is remembered.

--- a/src/node/row_mirror.cc
+++ b/src/node/row_mirror.cc
@@ -75,7 +75,7 @@
 
 void row_mirror::remember_superseded(const stored_row& by) {
     const auto before = rows_.find(by.key);
-    if (before == rows_.end() || (!by.removed && by.value == before->second.value)) {
+    if (before == rows_.end() || by.version == before->second.version) {
         return;
     }
     supersede(before->second);
--- a/tests/node/row_mirror_test.cc
+++ b/tests/node/row_mirror_test.cc
@@ -111,6 +111,15 @@
     CHECK(fixture.observer.rows == std::map<std::string, std::string>{{"a", "new"}});
 }
 
+TEST_CASE("a row that was written again unchanged and then replaced does not come back either") {
+    mirror_fixture fixture;
+    fixture.mirror.on_snapshot({row_with("a", 3, "old")}, at(10));
+    fixture.mirror.on_changes({row_with("a", 11, "old")});
+    fixture.mirror.on_changes({row_with("a", 12, "new")});
+    fixture.mirror.on_snapshot({row_with("a", 3, "old")}, at(10, 2));
+    CHECK(fixture.observer.rows == std::map<std::string, std::string>{{"a", "new"}});
+}
+
 TEST_CASE("what is written after a restore is taken, also where it repeats a replaced row") {
     mirror_fixture fixture;
     fixture.mirror.on_snapshot({row_with("a", 3, "old")}, at(10));
