--- a/src/node/peer_service.cc
+++ b/src/node/peer_service.cc
@@ -87,11 +87,11 @@
     fetch_config();
 }
 
-bool peer_service::fetch_config() {
+void peer_service::fetch_config() {
     const std::optional<endpoint> newer = peers_.peer_with_newer_config();
     if (!newer) {
         config_lagging_since_.reset();
-        return false;
+        return;
     }
     const time_point now = state_.time.now();
     if (!config_lagging_since_) {
@@ -99,7 +99,7 @@
     }
     // The store is about to show it to this node too, unless it was restored.
     if (now - *config_lagging_since_ < max_table_lag) {
-        return false;
+        return;
     }
     fetch(*newer, config_path, [this](const std::string& body) {
         const auto rows = decode_rows(body);
@@ -112,7 +112,6 @@
             configs_.apply(row);
         }
     });
-    return true;
 }
 
 void peer_service::fetch_usage() {
--- a/src/node/peer_service.h
+++ b/src/node/peer_service.h
@@ -56,9 +56,9 @@
     peer_service(serving_state& state, peer_exchange& peers, std::vector<shared_table> tables,
                  config_observer& configs);
     void fetch_usage();
-    /// Fetches the configuration of a peer that has a newer one: a restored store may show an older
-    /// one to a node that starts. Returns whether there is one to fetch.
-    bool fetch_config();
+    /// Fetches the configuration of a peer that has a newer one, if any: a restored store may show
+    /// an older one to a node that starts.
+    void fetch_config();
     /// Whether the table's changes are to be fetched from a peer now.
     bool should_fetch_from_peer(std::size_t index, bool has_newer);
     bool fetch_table(std::size_t index);
