--- a/tests/node/shared_tables_test.cc
+++ b/tests/node/shared_tables_test.cc
@@ -1,6 +1,7 @@
 // Several nodes, of which a few follow the store's tables for all, with their own sockets on one
 // loop.
 #include "cluster_member.h"
+#include "node/peer_exchange.h"
 
 #include <catch2/catch.hpp>
 
@@ -8,6 +9,17 @@
 
 namespace {
 
+void put_server(fake_row_store& store, const std::string& id, const std::string& state = "ready") {
+    store.put("servers", id,
+              nlohmann::json{{"service", "plain"},
+                             {"address", "127.0.0.1:9"},
+                             {"zone", "z1"},
+                             {"version", "v1"},
+                             {"slots", 8},
+                             {"state", state}}
+                  .dump());
+}
+
 struct cluster_fixture {
     explicit cluster_fixture(int count) {
         for (int i = 0; i < count; ++i) {
@@ -23,14 +35,7 @@
                           [](const auto& member) { return member->is_following(); }));
     }
     void register_server(const std::string& id, const std::string& state = "ready") {
-        store.put("servers", id,
-                  nlohmann::json{{"service", "plain"},
-                                 {"address", "127.0.0.1:9"},
-                                 {"zone", "z1"},
-                                 {"version", "v1"},
-                                 {"slots", 8},
-                                 {"state", state}}
-                      .dump());
+        put_server(store, id, state);
     }
     [[nodiscard]] int event_count(const std::string& event) const {
         int sum = 0;
@@ -189,3 +194,46 @@
     CHECK(run_until(
         fixture.loop, [&] { return fixture.event_count("server_gone") == 4; }, millis{5'000}));
 }
+
+TEST_CASE("tables of a restored store reach 72 nodes as soon as 7 (simulation of a deployment)") {
+    const int count = GENERATE(7, 72);
+    event_loop loop;
+    const boot_clock time;
+    fake_row_store store{loop};
+    std::vector<std::unique_ptr<cluster_member>> members;
+    for (int i = 0; i < count; ++i) {
+        members.push_back(std::make_unique<cluster_member>(loop, time, store, i));
+    }
+    const auto have_all_seen = [&members](const std::string& server) {
+        return std::all_of(members.begin(), members.end(), [&server](const auto& member) {
+            const auto& lines = member->log.lines;
+            return std::any_of(lines.begin(), lines.end(), [&server](const auto& line) {
+                return line.name == "server_seen" && line.fields.at("server") == server;
+            });
+        });
+    };
+    put_server(store, "i-0");
+    REQUIRE(run_until(
+        loop,
+        [&] {
+            return have_all_seen("i-0") &&
+                   store.rows(peer_exchange::table).size() == members.size();
+        },
+        millis{10'000}));
+    for (const millis away : {millis{0}, millis{1'000}}) {
+        store.take_copy();
+        put_server(store, "replaced");
+        const int commits_before = store.commits;
+        store.set_failure(absl::UnavailableError("away"));
+        run_for(loop, away);
+        store.restore();
+        store.set_failure(absl::OkStatus());
+        const std::string server = "i-" + std::to_string(away.count() + 1);
+        put_server(store, server);
+        CHECK(run_until(
+            loop, [&] { return have_all_seen(server); }, max_propagation_time));
+        run_for(loop, millis{2'000});
+        // Each node writes its own row again, once.
+        CHECK(store.commits - commits_before <= count);
+    }
+}
