LOST: answers that callers still read slowly are sent whole in a planned stop

Cause: a connection counted as idle, or as done with lingering, from the last write to its queue. Closed with bytes still queued, it was in no list any more, so that the stop had nothing left to wait for.

Change: time without activity begins once nothing is queued.

--- a/src/http1/server_connection.cc
+++ b/src/http1/server_connection.cc
@@ -207,10 +207,18 @@
     connection_->resume_reading();
 }
 
+bool server_connection::is_sending(time_point now) {
+    if (connection_->unsent_bytes() == 0) {
+        return false;
+    }
+    last_activity_ = now;
+    return true;
+}
+
 void server_connection::check_timeouts(time_point now) {
     switch (state_) {
     case state::lingering:
-        if (now - last_activity_ >= linger_time) {
+        if (!is_sending(now) && now - last_activity_ >= linger_time) {
             drop();
         }
         return;
@@ -224,7 +232,7 @@
 }
 
 void server_connection::check_reading_timeouts(time_point now) {
-    const bool is_idle = now - last_activity_ >= server_.limits_.idle_timeout;
+    const bool is_idle = !is_sending(now) && now - last_activity_ >= server_.limits_.idle_timeout;
     const bool is_head_late = parser_.has_begun() && !parser_.is_head_complete() &&
                               now - request_started_ >= server_.limits_.head_timeout;
     // After the process was suspended, its timers run before its sockets are read.
@@ -239,8 +247,8 @@
 }
 
 void server_connection::close_if_idle(time_point now, micros idle_time) {
-    if (state_ == state::reading && !parser_.has_begun() && now - last_activity_ >= idle_time &&
-        !connection_->has_unread_bytes()) {
+    if (state_ == state::reading && !parser_.has_begun() && !is_sending(now) &&
+        now - last_activity_ >= idle_time && !connection_->has_unread_bytes()) {
         drop();
     }
 }
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -44,6 +44,9 @@
     void dispatch();
     void reject(int status);
     void linger();
+    /// Whether the caller has yet to take bytes of an answer, which counts as activity. A caller
+    /// that takes none is ended by the connection's own time limits.
+    bool is_sending(time_point now);
     void check_reading_timeouts(time_point now);
     void remove_from_server();
 
