--- a/tests/node/shared_tables_test.cc
+++ b/tests/node/shared_tables_test.cc
@@ -201,6 +201,7 @@
     const boot_clock time;
     fake_row_store store{loop};
     std::vector<std::unique_ptr<cluster_member>> members;
+    members.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         members.push_back(std::make_unique<cluster_member>(loop, time, store, i));
     }
--- a/tests/node/slow_callers_test.cc
+++ b/tests/node/slow_callers_test.cc
@@ -71,7 +71,7 @@
 };
 
 std::filesystem::path make_folder() {
-    const std::filesystem::path folder =
+    std::filesystem::path folder =
         std::filesystem::temp_directory_path() / ("jujubetide-slow-" + std::to_string(::getpid()));
     std::filesystem::create_directories(folder);
     return folder;
