--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -92,6 +92,7 @@
     /// Bytes of the current call's own response, and those of them that belong to its body.
     std::size_t response_bytes_ = 0;
     std::size_t body_bytes_ = 0;
+    time_point connect_before_{};
     time_point idle_since_{};
     micros max_idle_ = micros::max();
 };
@@ -181,6 +182,7 @@
         });
     }
     if (state_ == state::connecting) {
+        connect_before_ = pool_->time.now() + options.connect_timeout;
         connect_timer_ = pool_->loop.once(options.connect_timeout, [weak_self] {
             if (const auto self = weak_self.lock(); self && self->state_ == state::connecting) {
                 self->fail(call_failure::not_connected);
@@ -199,6 +201,12 @@
 
 void pooled_connection::do_connected() {
     connect_timer_.reset();
+    // The loop's timers stand still while the machine is suspended; the caller's reasons to send
+    // the request may be over by now.
+    if (pool_->time.now() >= connect_before_) {
+        fail(call_failure::not_connected);
+        return;
+    }
     state_ = state::active;
     connection_->write(request_);
     request_.clear();
--- a/tests/http1/http1_client_test.cc
+++ b/tests/http1/http1_client_test.cc
@@ -1,5 +1,6 @@
 #include "support/blocking_peer.h"
 #include "support/loop_runner.h"
+#include "support/manual_clock.h"
 #include "support/recorded_call.h"
 #include "support/scripted_server.h"
 
@@ -174,3 +175,22 @@
     CHECK(run_until(fixture.loop, [&] { return server.calls()[1]->caller_gone; }));
     CHECK_FALSE(cancelled.over());
 }
+
+TEST_CASE("a request is not sent if the process was suspended until after its time to connect") {
+    event_loop loop;
+    manual_clock time;
+    http1_client client(loop, time);
+    scripted_server server(loop, time,
+                           [](scripted_call& call) { call.exchange->respond(200, {}, "ok"); });
+    recorded_call events;
+    call_options options;
+    options.connect_timeout = millis{1'000};
+    options.timeout = millis{1'000};
+    const auto running =
+        client.call(server.address(), serialize_request("POST", "/", {}, "body"), options, events);
+    time.advance(millis{5'000}); // The timers of the loop do not see the suspension.
+    CHECK(run_until(loop, [&] { return events.over(); }));
+    CHECK(events.failure == call_failure::not_connected);
+    run_for(loop, millis{50});
+    CHECK(server.calls().empty());
+}
