Slow callers of the planned stop's test read at their rate

Cause: the test's callers, not the node. Their receive buffer of 64 KiB holds about one segment of the loopback device, so that its window opens late: of 321 reads of a caller 155 found less than the 57 KiB that it reads at a time, 8 found nothing. They read 1.8 MiB/s instead of the 2.25 MiB/s that the test states, and 14 MiB take the whole grace period.

Ruled out: a slow node or process.

Change: a caller reads what its rate allows since its request, at most a receive buffer at a time, and the buffer is 256 KiB. Rate, length of the answers, grace period and checks are as before; a caller that falls behind makes up for it, so that the rate is a stricter one.

A trial that read in a loop until the rate was reached starved the other callers of the same process and was dropped: a connection that takes nothing for 3 s is ended (TCP_USER_TIMEOUT).

--- a/tests/node/slow_callers_test.cc
+++ b/tests/node/slow_callers_test.cc
@@ -19,20 +19,22 @@
 namespace {
 
 constexpr std::size_t answer_bytes = std::size_t{14} << 20U;
-/// Together 2.25 MiB/s for each caller.
+/// Of each caller, from its request on.
+constexpr std::size_t bytes_per_second = std::size_t{9} << 18U;
 constexpr millis read_period{25};
-constexpr std::size_t bytes_per_read = std::size_t{57} << 10U;
-/// A small window, so that most of an answer waits in the node.
-constexpr int receive_buffer_bytes = 64 << 10;
+/// A small window, so that most of an answer waits in the node, but one of several read periods, so
+/// that a late timer does not lower a caller's rate.
+constexpr int receive_buffer_bytes = 256 << 10;
 constexpr millis max_start_time{10'000};
 /// `gracePeriodS` of the settings of `node_process`.
 constexpr micros grace_period{8'000'000};
 
-/// Sends one request at once and reads its answer at a limited rate.
+/// Sends one request at once and reads its answer at a limited rate, making up for late reads.
 class slow_caller {
 public:
-    slow_caller(event_loop& loop, const endpoint& node, const std::string& request)
-        : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    slow_caller(event_loop& loop, const jujubetide::clock& time, const endpoint& node,
+                const std::string& request)
+        : time_(time), began_(time.now()), socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
         ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
                      sizeof receive_buffer_bytes);
         sockaddr_in address{};
@@ -55,16 +57,29 @@
     [[nodiscard]] std::size_t received() const { return received_; }
 
 private:
+    /// Bytes that the rate allows to have received by now.
+    [[nodiscard]] std::size_t allowed_bytes() const {
+        const auto elapsed = static_cast<std::size_t>((time_.now() - began_).count());
+        return elapsed * bytes_per_second / std::micro::den;
+    }
     void read() {
-        std::string buffer(bytes_per_read, '\0');
-        const ssize_t count = ::recv(socket_, buffer.data(), buffer.size(), MSG_DONTWAIT);
-        if (count > 0) {
-            received_ += static_cast<std::size_t>(count);
+        const std::size_t allowed = allowed_bytes();
+        if (has_ended_ || allowed <= received_) {
+            return;
+        }
+        const ssize_t count = ::recv(socket_, buffer_.data(),
+                                     std::min(buffer_.size(), allowed - received_), MSG_DONTWAIT);
+        if (count < 0 && errno == EAGAIN) {
+            return;
         }
-        has_ended_ = has_ended_ || count == 0 || (count < 0 && errno != EAGAIN);
+        has_ended_ = count <= 0;
+        received_ += static_cast<std::size_t>(std::max<ssize_t>(count, 0));
     }
 
+    const jujubetide::clock& time_;
+    time_point began_;
     int socket_;
+    std::string buffer_ = std::string(receive_buffer_bytes, '\0');
     std::size_t received_ = 0;
     bool has_ended_ = false;
     std::unique_ptr<timer_subscription> reading_;
@@ -119,7 +134,8 @@
     }
     void add_caller() {
         const std::string id = "slow-" + std::to_string(callers.size());
-        callers.push_back(std::make_unique<slow_caller>(loop, node.caller_endpoint(), request(id)));
+        callers.push_back(
+            std::make_unique<slow_caller>(loop, time, node.caller_endpoint(), request(id)));
     }
     [[nodiscard]] bool have_all(bool (slow_caller::*state)() const) const {
         return std::all_of(callers.begin(), callers.end(),
