Table readers of a large cluster are heard, and missed, as soon as those of a small one

With more than 100 peers each node sends a heartbeat every 0.9 s and counts as live for 3.7 s of silence. The nodes that do not follow the store's tables hear of changes, and of the end of the three readers, by those heartbeats: when all three end at once, nobody follows the tables for 3.7 s.

Change: table readers send a heartbeat each 0.3 s, whatever the number of nodes, and count as silent after 1.3 s. With 100 peers or fewer nothing changes. With 295 nodes three of them send 980 datagrams a second in place of 327.

Result: two tests with 300 peers, red before (7 heartbeats of 28 in 9 s; the readers still count as live after 1.4 s) and green after.

--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -80,7 +80,8 @@
     write_own_row();
     digest_timer_ = state_.timers.every(heartbeat_period, heartbeat_period, [this] {
         update_liveness();
-        if (++periods_since_heartbeat_ >= periods_per_heartbeat()) {
+        ++periods_since_heartbeat_;
+        if (is_heartbeat_due()) {
             send_heartbeat();
         }
     });
@@ -267,6 +268,12 @@
     return 1 + static_cast<int>(peers_.size() / max_peers_per_period);
 }
 
+bool peer_exchange::is_heartbeat_due() const {
+    // The other nodes hear of changes, and of the end of the readers, by the readers' heartbeats.
+    return periods_since_heartbeat_ >= periods_per_heartbeat() ||
+           (follows_tables_ && is_table_reader());
+}
+
 micros peer_exchange::silence_limit() const {
     return usage_cap::peer_silence_timeout(heartbeat_period * periods_per_heartbeat());
 }
@@ -275,6 +282,12 @@
     return other.last_heard && state_.time.now() - *other.last_heard < silence_limit();
 }
 
+bool peer_exchange::is_live_table_reader(const peer& other) const {
+    return other.follows_tables && other.reaches_store && !other.is_leaving && other.last_heard &&
+           state_.time.now() - *other.last_heard <
+               usage_cap::peer_silence_timeout(heartbeat_period);
+}
+
 void peer_exchange::update_liveness() {
     std::erase_if(peers_, [this](const auto& item) {
         return (item.second.is_row_removed || item.second.is_row_lost) && !item.second.was_live;
@@ -432,7 +445,8 @@
 bool peer_exchange::is_table_reader() const {
     std::vector<table_reader_candidate> others;
     for (const auto& [node, other] : peers_) {
-        if (is_live(other) && !other.is_leaving) {
+        const bool is_silent_reader = other.follows_tables && !is_live_table_reader(other);
+        if (is_live(other) && !other.is_leaving && !is_silent_reader) {
             others.push_back({node, other.cores, other.reaches_store});
         }
     }
@@ -445,8 +459,7 @@
         // Without its eras, a peer's tables cannot be told to be newer than this node's.
         const bool is_comparable =
             other.names_eras || store_.era().value_or(store_era()) == store_era();
-        return is_comparable && other.follows_tables && other.reaches_store && is_live(other) &&
-               !other.is_leaving;
+        return is_comparable && is_live_table_reader(other);
     });
 }
 
--- a/src/node/peer_exchange.h
+++ b/src/node/peer_exchange.h
@@ -34,7 +34,8 @@
     /// Time between two heartbeats of a node with few peers.
     static constexpr micros heartbeat_period{300'000};
     /// With more peers than this, heartbeats are sent less often, so that the number of datagrams
-    /// that a node sends and receives per second does not grow with the number of nodes.
+    /// that a node sends and receives per second does not grow with the number of nodes. Only the
+    /// table readers, which are few, always send one each `heartbeat_period`.
     static constexpr std::size_t max_peers_per_period = 100;
     /// A node that was not heard for this long counts as dead.
     [[nodiscard]] micros silence_limit() const;
@@ -78,7 +79,8 @@
     [[nodiscard]] std::optional<endpoint> oldest_peer() const;
     /// Whether this node is one of the few that follow the store's tables on behalf of all nodes.
     [[nodiscard]] bool is_table_reader() const;
-    /// Whether a live peer follows the store's tables.
+    /// Whether a peer that follows the store's tables was heard lately, within a time that does not
+    /// depend on the number of nodes.
     [[nodiscard]] bool has_live_table_reader() const;
     /// Address of a random live peer that has a newer change of the shared table `index` than
     /// `known`.
@@ -141,12 +143,15 @@
     void apply_server_limits(std::vector<server_limit_report> reports);
     /// The other nodes that may send calls to servers: a silent one may only be out of reach.
     [[nodiscard]] std::vector<node_id> limit_sharers() const;
-    /// Number of `heartbeat_period`s from one heartbeat to the next.
+    /// Number of `heartbeat_period`s from one heartbeat of a node to the next, but for table
+    /// readers.
     [[nodiscard]] int periods_per_heartbeat() const;
+    [[nodiscard]] bool is_heartbeat_due() const;
     [[nodiscard]] bool has_newer_table(const peer& other) const;
     [[nodiscard]] std::vector<store_position> own_table_changes() const;
     [[nodiscard]] std::uint64_t own_config_version() const;
     [[nodiscard]] bool is_live(const peer& other) const;
+    [[nodiscard]] bool is_live_table_reader(const peer& other) const;
 
     serving_state& state_;
     row_store& store_;
--- a/tests/node/peer_exchange_test.cc
+++ b/tests/node/peer_exchange_test.cc
@@ -38,6 +38,17 @@
                            std::map<usage_window, usage_counts> usage = {}) {
         peer_heartbeat heartbeat;
         heartbeat.usage = std::move(usage);
+        receive_heartbeat(name, std::move(heartbeat));
+    }
+    void receive_reader_heartbeat(const std::string& name) {
+        peer_heartbeat heartbeat;
+        heartbeat.follows_tables = true;
+        heartbeat.table_versions.emplace_back(1);
+        heartbeat.table_eras.emplace_back(1);
+        heartbeat.cores = state->settings.cores + 1;
+        receive_heartbeat(name, std::move(heartbeat));
+    }
+    void receive_heartbeat(const std::string& name, peer_heartbeat heartbeat) {
         heartbeat.node = node_id(name);
         heartbeat.start = incarnation(1);
         heartbeat.is_ready = true;
@@ -157,6 +168,43 @@
     CHECK(fixture.peers->silence_limit() > micros{3'600'000});
 }
 
+TEST_CASE("a table reader tells of changes as soon among three hundred nodes as among few") {
+    peers_fixture fixture;
+    const std::uint16_t receiver_port = own_port(1);
+    int received = 0;
+    const auto receiver = *udp_socket::make(fixture.loop, {"127.0.0.1", receiver_port},
+                                            [&received](std::string_view) { ++received; });
+    fixture.add_row("receiver", "10.0.0.2:80", "127.0.0.1:" + std::to_string(receiver_port));
+    for (int i = 0; i < 299; ++i) {
+        fixture.add_row("n" + std::to_string(i + 10), "10.0.1.1:80");
+    }
+    fixture.peers->set_store_access(true, true);
+    REQUIRE(fixture.peers->is_table_reader());
+    fixture.advance(millis{9'000});
+    run_for(fixture.loop, millis{200});
+    CHECK(received >= 28);
+}
+
+TEST_CASE("the end of all table readers is noticed within a drain among three hundred nodes") {
+    const int count = GENERATE(5, 300);
+    peers_fixture fixture;
+    for (int i = 0; i < count; ++i) {
+        fixture.add_row("n" + std::to_string(i + 10), "10.0.1.1:80");
+    }
+    for (const std::string reader : {"n10", "n11", "n12"}) {
+        fixture.receive_reader_heartbeat(reader);
+    }
+    CHECK(fixture.peers->has_live_table_reader());
+    CHECK_FALSE(fixture.peers->is_table_reader());
+    fixture.advance(millis{900});
+    CHECK(fixture.peers->has_live_table_reader());
+    CHECK_FALSE(fixture.peers->is_table_reader());
+    // Of the 2 s that a server goes on after it reported that it drains.
+    fixture.advance(millis{500});
+    CHECK_FALSE(fixture.peers->has_live_table_reader());
+    CHECK(fixture.peers->is_table_reader());
+}
+
 TEST_CASE("live peers whose rows a restored store lacks stay in the directory") {
     peers_fixture fixture;
     fixture.peers->on_snapshot({}, {store_era(1), row_version(5)});
