--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -55,6 +55,7 @@
 inline constexpr log_event peer_lost{7041, log_severity::warning, "peer_lost"};
 inline constexpr log_event peer_message_rejected{7042, log_severity::warning,
                                                  "peer_message_rejected"};
+inline constexpr log_event peer_fetch_failed{7067, log_severity::info, "peer_fetch_failed"};
 inline constexpr log_event duty_gained{7050, log_severity::info, "duty_gained"};
 inline constexpr log_event duty_lost{7051, log_severity::warning, "duty_lost"};
 inline constexpr log_event duty_retaken{7065, log_severity::info, "duty_retaken"};
--- a/src/node/peer_service.cc
+++ b/src/node/peer_service.cc
@@ -72,11 +72,11 @@
 
 void peer_service::fetch_missing() {
     peers_.set_has_usage_history(has_usage_history_);
-    if (running_fetch_) {
-        return;
-    }
-    if (!has_usage_history_) {
+    // A peer that does not send its usage counts holds up nothing else.
+    if (!has_usage_history_ && !usage_fetch_) {
         fetch_usage();
+    }
+    if (running_fetch_) {
         return;
     }
     for (std::size_t i = 0; i < tables_.size(); ++i) {
@@ -101,7 +101,7 @@
     if (now - *config_lagging_since_ < max_table_lag) {
         return;
     }
-    fetch(*newer, config_path, [this](const std::string& body) {
+    fetch(running_fetch_, *newer, config_path, [this](const std::string& body) {
         const auto rows = decode_rows(body);
         if (!rows.ok()) {
             state_.log.write(peer_message_rejected,
@@ -120,7 +120,7 @@
         has_usage_history_ = state_.time.now() - started_ >= peer_wait_timeout;
         return;
     }
-    fetch(*oldest, usage_path, [this](const std::string& body) {
+    fetch(usage_fetch_, *oldest, usage_path, [this](const std::string& body) {
         const auto records = decode_usage(body);
         if (!records.ok()) {
             state_.log.write(peer_message_rejected,
@@ -159,7 +159,7 @@
     if (!should_fetch_from_peer(index, newer.has_value())) {
         return false;
     }
-    fetch(*newer,
+    fetch(running_fetch_, *newer,
           absl::StrCat(rows_path, table.name, after_query, own.version.value(), era_query,
                        own.era.value()),
           [this, index](const std::string& body) { apply_rows(index, body); });
@@ -183,20 +183,26 @@
     }
 }
 
-void peer_service::fetch(const endpoint& from, const std::string& path,
-                         std::function<void(const std::string&)> on_body) {
+void peer_service::fetch(std::unique_ptr<buffered_call>& call, const endpoint& from,
+                         const std::string& path, std::function<void(const std::string&)> on_body) {
     header_list headers;
     headers.add("Host", from.str());
     call_options options;
     options.timeout = fetch_timeout;
-    running_fetch_ = buffered_call::start(
+    call = buffered_call::start(
         state_.client, from, serialize_request("GET", path, headers, ""), options,
-        [this, on_body = std::move(on_body)](const http1_response* response, call_failure) {
-            const auto finished = std::move(running_fetch_);
-            // A fetch that failed is retried by the next `fetch_missing`.
+        [this, &call, from, path, on_body = std::move(on_body)](const http1_response* response,
+                                                                call_failure) {
+            const auto finished = std::move(call);
             if (response != nullptr && response->status == ok_status) {
                 on_body(response->body);
+                return;
             }
+            // The next `fetch_missing` tries again.
+            state_.log.write(peer_fetch_failed,
+                             {{"from", from.str()},
+                              {"path", path},
+                              {"status", absl::StrCat(response ? response->status : 0)}});
         });
 }
 
--- a/src/node/peer_service.h
+++ b/src/node/peer_service.h
@@ -35,7 +35,7 @@
                                                               config_observer& configs);
 
     void start();
-    /// Starts the next fetch that is due, if none is running; to be called when a peer has newer
+    /// Starts the next fetches that are due, if none is running; to be called when a peer has newer
     /// rows.
     void fetch_missing();
     /// Sets the longest request of a caller, which peers may pass on.
@@ -65,7 +65,8 @@
     void apply_rows(std::size_t index, const std::string& body);
     /// The rows for a request with this target; nothing if it names no shared table.
     [[nodiscard]] std::optional<table_rows> find_rows(std::string_view target) const;
-    void fetch(const endpoint& from, const std::string& path,
+    /// `call`, a member, is set until the fetch is over.
+    void fetch(std::unique_ptr<buffered_call>& call, const endpoint& from, const std::string& path,
                std::function<void(const std::string&)> on_body);
 
     serving_state& state_;
@@ -77,7 +78,9 @@
     std::vector<std::optional<time_point>> lagging_since_;
     std::optional<time_point> config_lagging_since_;
     std::unique_ptr<http1_server> server_;
+    /// Of a table or of the configuration.
     std::unique_ptr<buffered_call> running_fetch_;
+    std::unique_ptr<buffered_call> usage_fetch_;
     time_point started_{};
     bool has_usage_history_ = false;
     std::unique_ptr<timer_subscription> timer_;
--- a/tests/node/shared_tables_test.cc
+++ b/tests/node/shared_tables_test.cc
@@ -2,9 +2,14 @@
 // loop.
 #include "cluster_member.h"
 #include "node/peer_exchange.h"
+#include "node/peer_heartbeat.h"
 
 #include <catch2/catch.hpp>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace jujubetide;
 
 namespace {
@@ -51,6 +56,61 @@
     std::vector<std::unique_ptr<cluster_member>> members;
 };
 
+/// A peer that has run longer than all others, sends heartbeats, and accepts connections without
+/// ever answering.
+class silent_peer {
+public:
+    silent_peer(cluster_fixture& fixture, int number)
+        : address_{"127.0.0.1", own_port(number)},
+          listener_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)),
+          datagrams_(*udp_socket::make(fixture.loop, address_, [](std::string_view) {})) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(address_.port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof address) ==
+                0);
+        constexpr int max_pending = 16;
+        REQUIRE(::listen(listener_, max_pending) == 0);
+        const std::string name = "n" + std::to_string(number);
+        fixture.store.put(peer_exchange::table, name,
+                          nlohmann::json{{"start", 1},
+                                         {"callers", address_.str()},
+                                         {"peers", address_.str()},
+                                         {"failure_domain", "z"}}
+                              .dump());
+        heartbeat_.node = node_id(name);
+        heartbeat_.start = incarnation(1);
+        heartbeat_.has_usage_history = true;
+        // Other nodes are table readers.
+        heartbeat_.reaches_store = false;
+        constexpr int max_members = 10;
+        timer_ = fixture.loop.every(peer_exchange::heartbeat_period, micros{0}, [this] {
+            for (int i = 0; i < max_members; ++i) {
+                datagrams_->send({"127.0.0.1", own_port(i)}, encode(heartbeat_));
+            }
+        });
+    }
+    ~silent_peer() { ::close(listener_); }
+    silent_peer(const silent_peer&) = delete;
+    silent_peer& operator=(const silent_peer&) = delete;
+
+    [[nodiscard]] bool has_connections() const {
+        const int connection = ::accept(listener_, nullptr, nullptr);
+        if (connection >= 0) {
+            ::close(connection);
+        }
+        return connection >= 0;
+    }
+
+private:
+    endpoint address_;
+    int listener_;
+    std::unique_ptr<udp_socket> datagrams_;
+    peer_heartbeat heartbeat_;
+    std::unique_ptr<timer_subscription> timer_;
+};
+
 /// Each node must have a change within this time of its commit.
 constexpr millis max_propagation_time{2'000};
 
@@ -87,6 +147,19 @@
         fixture.loop, [&] { return fixture.event_count("server_seen") == 3; }, millis{3'000}));
 }
 
+TEST_CASE("a change reaches a started node whose oldest peer does not send its usage counts") {
+    cluster_fixture fixture(5);
+    const silent_peer oldest(fixture, 5);
+    cluster_member started(fixture.loop, fixture.time, fixture.store, 6, nullptr, 0.5);
+    run_for(fixture.loop, millis{2'500});
+    REQUIRE_FALSE(started.is_following());
+    fixture.register_server("i-1");
+    CHECK(run_until(
+        fixture.loop, [&] { return started.log.count("server_seen") == 1; }, max_propagation_time));
+    // Its usage counts were asked for.
+    CHECK(oldest.has_connections());
+}
+
 TEST_CASE("other nodes take over when the store rejects the nodes that follow it") {
     cluster_fixture fixture(6);
     for (const auto& member : fixture.members) {
