--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -23,7 +23,7 @@
 /// Answers older than this are dropped first when there are too many parts.
 constexpr micros recent_answer{30'000'000};
 /// First character of a content's id; a caller's id with it is replaced by its hash.
-constexpr char content_mark = '=';
+constexpr const char* content_mark = "=";
 /// Nodes spread their first trials over this fraction of the quarantine time.
 constexpr double trial_spread = 0.5;
 
@@ -64,7 +64,7 @@
 
 crash_suspects::crash_suspects(std::span<const prompt_part> parts, std::uint64_t content)
     : crash_suspects(std::vector<prompt_part>(parts.begin(), parts.end())) {
-    ids_.insert(prompt_part_id(std::string(1, content_mark) + absl::StrCat(absl::Hex(content))));
+    ids_.insert(prompt_part_id(absl::StrCat(content_mark, absl::Hex(content))));
 }
 
 bool crash_suspects::is_content(const prompt_part_id& id) {
