--- a/cmake/jujubetide.cmake
+++ b/cmake/jujubetide.cmake
@@ -3,7 +3,7 @@
 endif()
 
 add_library(jt_options INTERFACE)
-target_compile_options(jt_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+target_compile_options(jt_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow)
 if(JUJUBETIDE_SANITIZE)
     # GCC reports false positives in libstdc++ once the sanitizers' checks are compiled in.
     target_compile_options(jt_options INTERFACE
