--- a/tests/tools/check_packages_test.py
+++ b/tests/tools/check_packages_test.py
@@ -1,4 +1,5 @@
 """Tests of tools/check_packages."""
+import pathlib
 import tempfile
 import unittest
 
@@ -49,6 +50,17 @@
         cmake = "execute_process(COMMAND ninja --version COMMAND_ERROR_IS_FATAL ANY)"
         self.assert_fault(self.check(cmake=cmake), "tool", "ninja-build")
 
+    def test_unlisted_tool_named_by_its_path_fails(self):
+        cmake = "add_custom_command(TARGET program POST_BUILD COMMAND /usr/bin/ninja --version)"
+        self.assert_fault(self.check(cmake=cmake), "tool", "ninja-build")
+
+    def test_header_of_no_package_fails(self):
+        header = pathlib.Path(self.folder) / "installed_by_hand.h"
+        header.write_text("")
+        checked = self.check(source=f'#include "{header}"\nint main() {{}}\n')
+        self.assertEqual(checked.returncode, 1, checked.stdout + checked.stderr)
+        self.assertIn(f"header {header}: belongs to no package", checked.stdout)
+
     def test_recommended_tool_fails(self):
         self.assert_fault(self.check(packages=("cmake", "g++")), "tool", "make")
 
