--- a/include/jujubetide/lease/lease_state.h
+++ b/include/jujubetide/lease/lease_state.h
@@ -90,6 +90,11 @@
 
     /// Gives the lease up and returns the write that tells others, or nothing when not held.
     [[nodiscard]] std::optional<lease_write> release(time_point now);
+    /// Gives the lease up for good. From now on, `next_write` returns the write that tells others
+    /// for as long as the row names this process, whatever becomes of earlier writes.
+    void begin_release() { is_releasing_ = true; }
+    /// Whether the row does not name this process any more, and no earlier write can change that.
+    [[nodiscard]] bool is_released(time_point now) const;
     /// Another holder's fencing number was met.
     void lost();
 
@@ -127,6 +132,7 @@
     bool must_retake_ = false;
     bool was_restored_ = false;
     bool has_predecessor_ = false;
+    bool is_releasing_ = false;
 };
 
 /// The text of a row, and its reading; InvalidArgument where it is none.
--- a/src/lease/lease_state.cc
+++ b/src/lease/lease_state.cc
@@ -44,6 +44,9 @@
         holds_ = must_retake_ = false;
     }
     const lease_record& record = seen_->record;
+    if (is_releasing_) {
+        return is_own(record) ? std::optional(make_write("", record.fencing, now)) : std::nullopt;
+    }
     if (holds_ && !must_retake_) {
         return make_write(options_.holder, fencing_, now);
     }
@@ -105,6 +108,16 @@
     return make_write("", fencing_, now);
 }
 
+bool lease_state::is_released(time_point now) const {
+    const auto may_still_apply = [&](const lease_write& write) {
+        return now < write.sent + options_.longest_order;
+    };
+    return is_releasing_ &&
+           (write_count_ == 0 ||
+            (!needs_read_ && !is_own(seen_->record) &&
+             std::none_of(unknown_writes_.begin(), unknown_writes_.end(), may_still_apply)));
+}
+
 void lease_state::lost() {
     holds_ = must_retake_ = false;
     needs_read_ = true;
@@ -112,7 +125,7 @@
 }
 
 micros lease_state::remaining(time_point now) const {
-    return holds_ ? std::max(micros{0}, safe_until_ - now) : micros{0};
+    return holds_ && !is_releasing_ ? std::max(micros{0}, safe_until_ - now) : micros{0};
 }
 
 absl::StatusOr<fencing_number> lease_state::permit_order(time_point now,
--- a/src/node/duty_lease.cc
+++ b/src/node/duty_lease.cc
@@ -86,16 +86,11 @@
 void duty_lease::step() {
     update_era();
     publish_state();
-    const time_point now = state_.time.now();
-    if (call_pending_ || released_) {
-        return;
-    }
-    const bool is_renewal = is_held() && !lease_.must_retake();
-    if (is_renewal ? now - last_renewal_ < renewal_period : !is_held() && !is_candidate()) {
+    if (call_pending_ || !is_call_due()) {
         return;
     }
     const std::optional<lease_write> update =
-        lease_.needs_read() ? std::nullopt : lease_.next_write(now, lowest_number());
+        lease_.needs_read() ? std::nullopt : lease_.next_write(state_.time.now(), lowest_number());
     if (update) {
         write(*update);
     } else {
@@ -103,16 +98,42 @@
     }
 }
 
+bool duty_lease::is_call_due() const {
+    const time_point now = state_.time.now();
+    if (released_) {
+        return !lease_.is_released(now);
+    }
+    if (is_held() && !lease_.must_retake()) {
+        return now - last_renewal_ >= renewal_period;
+    }
+    return is_held() || is_candidate();
+}
+
+void duty_lease::continue_release() {
+    if (!released_ || call_pending_ || lease_.is_released(state_.time.now())) {
+        return;
+    }
+    if (const auto update = lease_.next_write(state_.time.now())) {
+        write(*update);
+    } else if (lease_.needs_read()) {
+        read();
+    }
+}
+
 void duty_lease::read() {
     call_pending_ = true;
     store_.read(table, "", [this](const absl::StatusOr<row_batch>& batch) {
         call_pending_ = false;
         update_era();
+        if (!batch.ok()) {
+            log_failure("read", batch.status());
+        }
         if (!batch.ok() || batch->era != era_) {
             return; // The next step tries again; a lease that is held may expire meanwhile.
         }
         on_rows(*batch);
         publish_state();
+        continue_release();
     });
 }
 
@@ -168,19 +189,42 @@
                       }
                       if (result.ok()) {
                           on_written(update, *result);
-                      } else if (absl::IsAborted(result.status())) {
-                          lease_.write_refused();
-                      } else if (absl::IsDeadlineExceeded(result.status())) {
-                          lease_.write_unknown(update);
+                      } else {
+                          on_write_failed(update, result.status());
                       }
                       publish_state();
+                      if (!absl::IsUnavailable(result.status())) {
+                          continue_release(); // Otherwise the next step tries again.
+                      }
                   });
 }
 
+void duty_lease::on_write_failed(const lease_write& update, const absl::Status& status) {
+    log_failure("write", status);
+    if (absl::IsAborted(status)) {
+        lease_.write_refused();
+    } else if (absl::IsDeadlineExceeded(status)) {
+        lease_.write_unknown(update);
+    }
+}
+
+void duty_lease::log_failure(const char* call, const absl::Status& status) {
+    if (is_held() || released_) {
+        state_.log.write(duty_call_failed, {{"lease", key},
+                                            {"call", call},
+                                            {"stopping", released_ ? "true" : "false"},
+                                            {"why", std::string(status.message())}});
+    }
+}
+
 void duty_lease::on_written(const lease_write& update, row_version version) {
     const bool is_retaken = lease_.must_retake();
     lease_.write_applied(update, version, state_.time.now());
     held_row_ = lease_row{update.record, version};
+    if (update.record.holder.empty()) {
+        state_.log.write(duty_released,
+                         {{"lease", key}, {"number", absl::StrCat(update.record.fencing.value())}});
+    }
     if (!update.takes) {
         return;
     }
@@ -194,14 +238,9 @@
 
 void duty_lease::release() {
     released_ = true;
-    const auto update = lease_.release(state_.time.now());
-    if (!update || call_pending_) {
-        return;
-    }
-    store_.commit(transaction_for(*update), [](const absl::StatusOr<row_version>&) {
-        // If this fails, the lease expires by itself.
-    });
+    lease_.begin_release();
     publish_state();
+    continue_release();
 }
 
 void duty_lease::publish_state() {
--- a/src/node/duty_lease.h
+++ b/src/node/duty_lease.h
@@ -17,7 +17,8 @@
     duty_lease(serving_state& state, row_store& store, peer_exchange& peers);
 
     void start();
-    /// Releases the lease, so that another node need not wait until it expires.
+    /// Gives the duties up at once and begins to release the lease, so that another node need not
+    /// wait until it expires. A call under way is awaited, and calls that fail are repeated.
     void release();
 
     [[nodiscard]] bool is_held() const { return lease_.held(state_.time.now()); }
@@ -37,10 +38,15 @@
     };
 
     void step();
+    [[nodiscard]] bool is_call_due() const;
+    /// Sends the next call of a release that is not complete, unless one is under way.
+    void continue_release();
     void read();
     void write(const lease_write& update);
     void on_rows(const row_batch& batch);
     void on_written(const lease_write& update, row_version version);
+    void on_write_failed(const lease_write& update, const absl::Status& status);
+    void log_failure(const char* call, const absl::Status& status);
     /// Notes that the store was restored since the last call.
     void update_era();
     /// The lowest number that a holder may take in the store's era.
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -58,6 +58,8 @@
 inline constexpr log_event peer_fetch_failed{7067, log_severity::info, "peer_fetch_failed"};
 inline constexpr log_event duty_gained{7050, log_severity::info, "duty_gained"};
 inline constexpr log_event duty_lost{7051, log_severity::warning, "duty_lost"};
+inline constexpr log_event duty_released{7068, log_severity::info, "duty_released"};
+inline constexpr log_event duty_call_failed{7069, log_severity::warning, "duty_call_failed"};
 inline constexpr log_event duty_retaken{7065, log_severity::info, "duty_retaken"};
 inline constexpr log_event usage_reported{7052, log_severity::info, "usage_reported"};
 inline constexpr log_event usage_not_reported{7053, log_severity::warning, "usage_not_reported"};
--- a/tests/node/duties_test.cc
+++ b/tests/node/duties_test.cc
@@ -139,6 +139,31 @@
     }
 }
 
+row_version lease_version(duty_fixture& fixture) {
+    const auto rows = fixture.store.rows(duty_lease::table);
+    const auto found = rows.find(duty_lease::key);
+    return found == rows.end() ? row_version() : found->second.version;
+}
+
+/// Advances until the store has written the lease's row; the answer is still to come.
+void advance_to_lease_write(duty_fixture& fixture) {
+    const row_version before = lease_version(fixture);
+    for (int i = 0; i < 400 && lease_version(fixture) == before; ++i) {
+        fixture.advance(millis{5});
+    }
+    REQUIRE(lease_version(fixture) > before);
+}
+
+/// Whether a second node takes the duties over well before the lease would have expired.
+bool is_taken_over_early(duty_fixture& fixture, duty_node& first, duty_node& second) {
+    const millis early = first.state.settings.lease_duration / 2;
+    for (millis waited{0}; waited < early && !second.lease.is_held(); waited += millis{5}) {
+        fixture.advance(millis{5});
+        CHECK_FALSE(first.lease.is_held());
+    }
+    return second.lease.is_held();
+}
+
 } // namespace
 
 TEST_CASE("one of two nodes holds the duties, and the other takes over after it ends") {
@@ -351,3 +376,72 @@
                        [&](const auto& report) { return report.window == window; }));
     CHECK_FALSE(second->calls.reports.empty());
 }
+
+TEST_CASE("duties do not rest until the lease expires when their holder stops while it renews") {
+    for (const millis answer_delay : {millis{10}, millis{200}, millis{900}}) {
+        duty_fixture fixture;
+        const auto first = fixture.make("n1", 1);
+        fixture.advance(millis{3'000});
+        REQUIRE(first->lease.is_held());
+        fixture.store.set_answer_delay(answer_delay);
+        advance_to_lease_write(fixture);
+        const auto second = fixture.make("n2", 2);
+        first->lease.release();
+        fixture.advance(answer_delay);
+        fixture.store.set_answer_delay(millis{1});
+        CHECK(is_taken_over_early(fixture, *first, *second));
+    }
+}
+
+TEST_CASE("duties do not rest when a node stops while it takes their lease") {
+    duty_fixture fixture;
+    fixture.store.set_answer_delay(millis{100});
+    const auto first = fixture.make("n1", 1);
+    advance_to_lease_write(fixture);
+    const auto second = fixture.make("n2", 2);
+    first->lease.release();
+    CHECK(is_taken_over_early(fixture, *first, *second));
+}
+
+TEST_CASE("duties do not rest when the answer to their holder's last renewal is lost") {
+    duty_fixture fixture;
+    const auto first = fixture.make("n1", 1);
+    fixture.advance(millis{3'000});
+    fixture.store.set_lose_answers(true);
+    fixture.store.set_answer_delay(millis{200});
+    advance_to_lease_write(fixture);
+    const auto second = fixture.make("n2", 2);
+    first->lease.release();
+    fixture.advance(millis{200});
+    fixture.store.set_lose_answers(false);
+    fixture.store.set_answer_delay(millis{1});
+    CHECK(is_taken_over_early(fixture, *first, *second));
+}
+
+TEST_CASE("duties do not rest when the store is away as their holder stops") {
+    duty_fixture fixture;
+    const auto first = fixture.make("n1", 1);
+    const auto second = fixture.make("n2", 2);
+    fixture.advance(millis{3'000});
+    REQUIRE(first->lease.is_held());
+    fixture.store.set_failure(absl::UnavailableError("away"));
+    first->lease.release();
+    fixture.advance(millis{1'000});
+    fixture.store.set_failure(absl::OkStatus());
+    CHECK(is_taken_over_early(fixture, *first, *second));
+}
+
+TEST_CASE("a node that never held the duties does not call the store as it stops") {
+    duty_fixture fixture;
+    const auto first = fixture.make("n1", 1);
+    fixture.advance(millis{3'000});
+    const auto second = fixture.make("n2", 2);
+    second->lease.release();
+    fixture.advance(millis{100});
+    const int commits = fixture.store.commits;
+    const int reads = fixture.store.reads;
+    first->store.cut();
+    fixture.advance(millis{1'000});
+    CHECK(fixture.store.commits == commits);
+    CHECK(fixture.store.reads == reads);
+}
--- a/tests/support/fake_row_store.h
+++ b/tests/support/fake_row_store.h
@@ -33,6 +33,8 @@
     }
     /// Commits are applied, but their answers are lost.
     void set_lose_answers(bool lose) { lose_answers_ = lose; }
+    /// Later calls are carried out at once and answered after `delay`.
+    void set_answer_delay(micros delay) { answer_delay_ = delay; }
     void forget_history() { history_from_ = version_; }
     /// Refuses all reads of changes after versions before `from`, and cuts those that wait.
     void forget_history_at(row_version from) {
@@ -169,7 +171,7 @@
 
     void answer(std::function<void()> function) {
         timers_running_.push_back(
-            timers_.once(millis{1}, [this, era = era_, function = std::move(function)] {
+            timers_.once(answer_delay_, [this, era = era_, function = std::move(function)] {
                 answered_era_ = std::max(answered_era_.value_or(era), era);
                 function();
             }));
@@ -230,6 +232,7 @@
     std::list<std::unique_ptr<timer_subscription>> timers_running_;
     absl::Status failure_;
     bool lose_answers_ = false;
+    micros answer_delay_{millis{1}};
     bool reads_are_stale_ = false;
     std::uint64_t version_ = 0;
     std::uint64_t history_from_ = 0;
