--- /dev/null
+++ b/include/jujubetide/base/build_identity.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string_view>
+
+namespace jujubetide {
+
+/// The version of the programs.
+std::string_view program_version();
+/// A hash of the sources that the programs were built from; cmake/source_identity.cmake computes
+/// it.
+std::string_view source_identity();
+
+} // namespace jujubetide
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -14,6 +14,8 @@
 #include "node/table_observers.h"
 #include "node/usage_reporter.h"
 
+#include "jujubetide/base/build_identity.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -185,6 +187,8 @@
     state.log.write(node_started,
                     {{"failure_domain", state.settings.failure_domain.str()},
                      {"callers", state.settings.caller_endpoint.str()},
+                     {"version", std::string(program_version())},
+                     {"sources", std::string(source_identity())},
                      {"start", std::to_string(components_->peers->own_incarnation().value())}});
     components_->feeds->start();
     components_->config_follower.start();
--- a/src/node/serving_metrics.cc
+++ b/src/node/serving_metrics.cc
@@ -1,5 +1,7 @@
 #include "node/serving_metrics.h"
 
+#include "jujubetide/base/build_identity.h"
+
 #include <prometheus/text_serializer.h>
 
 namespace jujubetide {
@@ -45,7 +47,15 @@
       state_(prometheus::BuildGauge()
                  .Name("jujubetide_node")
                  .Help("The node's state, by field.")
-                 .Register(registry_)) {}
+                 .Register(registry_)) {
+    prometheus::BuildGauge()
+        .Name("jujubetide_build_info")
+        .Help("1, with the version and the identity of the sources of the running program.")
+        .Register(registry_)
+        .Add({{"version", std::string(program_version())},
+              {"sources", std::string(source_identity())}})
+        .Set(1.0);
+}
 
 void serving_metrics::on_call(const service_id& service, std::string_view outcome,
                               std::string_view cause, micros duration) {
--- a/tests/node/node_metrics_test.cc
+++ b/tests/node/node_metrics_test.cc
@@ -1,5 +1,6 @@
 #include "node_fixture.h"
 
+#include "jujubetide/base/build_identity.h"
 #include "jujubetide/edge/json_log.h"
 
 #include <catch2/catch.hpp>
@@ -28,6 +29,19 @@
           std::string::npos);
 }
 
+TEST_CASE("the log and the metrics tell which sources a running node was built from") {
+    node_fixture fixture;
+    fixture.start();
+    const std::string sources(source_identity());
+    CHECK(sources.size() == 16);
+    CHECK(fixture.tested->metrics_text().find("jujubetide_build_info{sources=\"" + sources) !=
+          std::string::npos);
+    const auto started = std::find_if(fixture.log.lines.begin(), fixture.log.lines.end(),
+                                      [](const auto& line) { return line.name == "node_started"; });
+    REQUIRE(started != fixture.log.lines.end());
+    CHECK(started->fields.at("sources") == sources);
+}
+
 TEST_CASE("calls meet their latency target while the log pipe is full") {
     node_fixture fixture;
     fixture.start();
