A node bounds what all its connections buffer together, not only each call

What callers saw (other operators' report): a faulty engine sent bytes without end; the machine that had called it kept them and ran out of memory, and the requests of its other clients ended with it.

Cause: each call may keep 16 MiB of an answer, each caller's connection 4 MiB of a request and 128 KiB of later ones, each slow caller a whole answer in the write queue; nothing bounded the sum.

Change: the event loop has a memory_budget of a third of memoryMb. Requests with their bodies and heads, pipelined bytes, answers that are collected, incomplete events, requests that wait for a connection, buffered answers of the store and of peers, and write queues each hold a memory_share of it. Over it only that call fails: a caller gets 503 with cause node_memory and Retry-After before its request runs, an attempt fails with the log event answer_too_large, a buffered call at once with response_too_large (it read on until its time limit before). A length that is too large fails before the body is read. Senders are paused earlier while memory is short, and pipelined requests are read no further. A node that ends refuses requests that follow on a connection whose call it abandons; they began new calls before, found by the test of pipelined requests.

--- a/include/jujubetide/http1/http1_client.h
+++ b/include/jujubetide/http1/http1_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jujubetide/base/clock.h"
+#include "jujubetide/base/memory_share.h"
 #include "jujubetide/http1/message.h"
 #include "jujubetide/net/event_loop.h"
 #include "jujubetide/net/tcp_connection.h"
@@ -23,6 +24,8 @@
     /// sent.
     response_failed,
     timed_out,
+    /// The response is larger than its receiver may buffer.
+    response_too_large,
 };
 
 /// Receives the events of one call. `on_complete` or `on_failed` is the last one, unless the call
@@ -91,6 +94,8 @@
     [[nodiscard]] std::unique_ptr<http1_call> call(const endpoint& server, std::string request,
                                                    const call_options& options,
                                                    call_events& events);
+    /// Limits what the connections of the client's loop buffer.
+    [[nodiscard]] memory_budget& buffers() const;
     /// Connections to `server`, in use or idle.
     [[nodiscard]] std::size_t open_connections(const endpoint& server) const;
     /// Connections opened since the start.
@@ -115,7 +120,7 @@
 /// once it is complete.
 class buffered_call final : public call_events {
 public:
-    /// A call whose response body is larger than this fails.
+    /// A call whose response body is larger than this fails, as soon as that is known.
     static constexpr std::size_t max_body_bytes = 16U << 20U;
 
     static std::unique_ptr<buffered_call> start(http1_client& client, const endpoint& server,
@@ -129,11 +134,13 @@
     void do_failed(call_failure failure) override;
 
 private:
-    explicit buffered_call(response_handler handler) : handler_(std::move(handler)) {}
+    buffered_call(memory_budget& buffers, response_handler handler)
+        : handler_(std::move(handler)), memory_(buffers, memory_use::control) {}
+    void fail_too_large();
 
     response_handler handler_;
     http1_response response_;
-    bool too_large_ = false;
+    memory_share memory_;
     std::unique_ptr<http1_call> call_;
 };
 
--- a/include/jujubetide/http1/http1_server.h
+++ b/include/jujubetide/http1/http1_server.h
@@ -43,6 +43,8 @@
     void respond(int status, const header_list& headers, std::string_view body);
     /// Bytes queued for the caller.
     [[nodiscard]] std::size_t unsent_bytes() const { return do_unsent_bytes(); }
+    /// Whether to pause until `exchange_events::on_drained`, as for `tcp_connection`.
+    [[nodiscard]] bool is_backed_up() const { return do_is_backed_up(); }
 
 protected:
     http1_exchange() = default;
@@ -54,6 +56,7 @@
     virtual void do_finish() = 0;
     virtual void do_abort() = 0;
     [[nodiscard]] virtual std::size_t do_unsent_bytes() const = 0;
+    [[nodiscard]] virtual bool do_is_backed_up() const = 0;
 };
 
 /// Receives the events of one request.
@@ -87,6 +90,10 @@
     }
     /// The response body for a request that the server itself rejects, such as a malformed one.
     [[nodiscard]] std::string error_body(int status) const { return do_error_body(status); }
+    /// The headers of such a response; `head` is empty if it was not complete.
+    [[nodiscard]] header_list error_headers(int status, const request_head& head) const {
+        return do_error_headers(status, head);
+    }
 
 protected:
     http1_handler() = default;
@@ -96,6 +103,7 @@
     do_request(request_head head, std::string body, time_point started,
                std::shared_ptr<http1_exchange> exchange) = 0;
     [[nodiscard]] virtual std::string do_error_body(int status) const = 0;
+    [[nodiscard]] virtual header_list do_error_headers(int status, const request_head& head) const;
 };
 
 class server_connection;
--- a/include/jujubetide/net/event_loop.h
+++ b/include/jujubetide/net/event_loop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jujubetide/base/memory_budget.h"
 #include "jujubetide/base/timer_service.h"
 
 #include <functional>
@@ -31,6 +32,9 @@
     /// The buffer that all sockets of the loop read into; its content is valid until the next read.
     [[nodiscard]] std::span<char> read_buffer() { return read_buffer_; }
 
+    /// Limits what all connections of the loop buffer together.
+    [[nodiscard]] memory_budget& buffers() { return buffers_; }
+
 protected:
     std::unique_ptr<timer_subscription> do_once(micros delay, callback function) override;
     std::unique_ptr<timer_subscription> do_every(micros period, micros first_delay,
@@ -39,6 +43,8 @@
 private:
     struct signal_watcher;
 
+    /// Outlives the writes that the loop abandons.
+    memory_budget buffers_;
     std::unique_ptr<uv_loop_s> loop_;
     std::vector<char> read_buffer_;
     std::vector<std::unique_ptr<signal_watcher>> signals_;
--- a/include/jujubetide/node/node_settings.h
+++ b/include/jujubetide/node/node_settings.h
@@ -26,6 +26,8 @@
     /// The platform API for usage reports and server orders; port 0 if there is none.
     endpoint cloud_endpoint;
     std::size_t max_descriptors = 4'096;
+    /// Memory of the process, in bytes.
+    std::size_t memory = std::size_t{256} << 20U;
     /// Capacity relative to other hosts, in cores.
     double cores = 1.0;
 
--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -69,6 +69,9 @@
 private:
     enum class state { connecting, active, idle, closed };
 
+    void write_request();
+    /// Accounts for `consumed` bytes of the response.
+    void count_consumed(std::size_t consumed);
     [[nodiscard]] bool exceeds_limits() const;
     void complete();
     void fail(call_failure failure);
@@ -80,6 +83,9 @@
     message_parser parser_;
     state state_ = state::connecting;
     std::string request_;
+    /// The request until it is written, and the head of a response until it is complete.
+    memory_share request_memory_;
+    memory_share head_memory_;
     call_events* events_ = nullptr;
     std::unique_ptr<timer_subscription> connect_timer_;
     std::unique_ptr<timer_subscription> timer_;
@@ -87,6 +93,7 @@
     bool may_reuse_ = true;
     bool skipping_response_ = false;
     bool informational_response_ = false;
+    bool has_head_memory_ = true;
     /// Bytes of the current call that were not part of its own response.
     std::size_t bytes_before_response_ = 0;
     /// Bytes of the current call's own response, and those of them that belong to its body.
@@ -155,7 +162,9 @@
 pooled_connection::pooled_connection(std::shared_ptr<http1_client::shared_state> pool,
                                      endpoint server)
     : pool_(std::move(pool)), server_(std::move(server)),
-      parser_(message_parser::kind::response, *this) {}
+      parser_(message_parser::kind::response, *this),
+      request_memory_(pool_->loop.buffers(), memory_use::traffic),
+      head_memory_(pool_->loop.buffers(), memory_use::traffic) {}
 
 void pooled_connection::open() {
     ++pool_->opened;
@@ -167,6 +176,8 @@
                               call_events& events) {
     events_ = &events;
     request_ = std::move(request);
+    request_memory_.force(request_.size());
+    has_head_memory_ = true;
     keep_alive_ = false;
     skipping_response_ = false;
     bytes_before_response_ = 0;
@@ -191,8 +202,13 @@
         return;
     }
     state_ = state::active;
+    write_request();
+}
+
+void pooled_connection::write_request() {
     connection_->write(request_);
-    request_.clear();
+    request_ = {};
+    request_memory_.force(0);
 }
 
 bool pooled_connection::is_usable(time_point now, micros max_idle) const {
@@ -208,8 +224,7 @@
         return;
     }
     state_ = state::active;
-    connection_->write(request_);
-    request_.clear();
+    write_request();
 }
 
 void pooled_connection::do_data(std::string_view bytes) {
@@ -223,11 +238,7 @@
     while (!bytes.empty() && state_ == state::active) {
         const std::size_t consumed = std::min(parser_.feed(bytes), bytes.size());
         bytes.remove_prefix(consumed);
-        if (skipping_response_ || informational_response_ || !parser_.is_head_complete()) {
-            bytes_before_response_ += consumed;
-        } else {
-            response_bytes_ += consumed;
-        }
+        count_consumed(consumed);
         if (parser_.state() == parse_state::malformed || exceeds_limits()) {
             fail(call_failure::response_failed);
             return;
@@ -249,8 +260,18 @@
     }
 }
 
+void pooled_connection::count_consumed(std::size_t consumed) {
+    const bool is_head = !parser_.is_head_complete();
+    has_head_memory_ = head_memory_.resize(is_head ? head_memory_.size() + consumed : 0);
+    if (skipping_response_ || informational_response_ || is_head) {
+        bytes_before_response_ += consumed;
+    } else {
+        response_bytes_ += consumed;
+    }
+}
+
 bool pooled_connection::exceeds_limits() const {
-    return bytes_before_response_ > max_bytes_before_response ||
+    return !has_head_memory_ || bytes_before_response_ > max_bytes_before_response ||
            response_bytes_ > 2 * body_bytes_ + max_extra_framing_bytes;
 }
 
@@ -339,6 +360,9 @@
         return;
     }
     state_ = state::closed;
+    request_ = {};
+    request_memory_.force(0);
+    head_memory_.force(0);
     connect_timer_.reset();
     timer_.reset();
     pool_->on_closed(server_);
@@ -454,11 +478,16 @@
     return state_->opened;
 }
 
+memory_budget& http1_client::buffers() const {
+    return state_->loop.buffers();
+}
+
 std::unique_ptr<buffered_call> buffered_call::start(http1_client& client, const endpoint& server,
                                                     std::string request,
                                                     const call_options& options,
                                                     response_handler handler) {
-    std::unique_ptr<buffered_call> buffered(new buffered_call(std::move(handler)));
+    std::unique_ptr<buffered_call> buffered(
+        new buffered_call(client.buffers(), std::move(handler)));
     buffered->call_ = client.call(server, std::move(request), options, *buffered);
     return buffered;
 }
@@ -466,21 +495,36 @@
 bool buffered_call::do_head(const response_head& head) {
     response_.status = head.status;
     response_.headers = head.headers;
+    if (head.framing == body_framing::length &&
+        (head.content_length > max_body_bytes || !memory_.fits(head.content_length))) {
+        fail_too_large();
+    }
     return true;
 }
 
 void buffered_call::do_body(std::string_view bytes) {
-    too_large_ = too_large_ || response_.body.size() + bytes.size() > max_body_bytes;
-    if (!too_large_) {
-        response_.body += bytes;
+    const std::size_t size = response_.body.size() + bytes.size();
+    if (size > max_body_bytes || !memory_.resize(size)) {
+        fail_too_large();
+        return;
     }
+    response_.body += bytes;
+}
+
+void buffered_call::fail_too_large() {
+    // The handler may destroy this call.
+    const response_handler handler = std::move(handler_);
+    call_.reset();
+    response_ = {};
+    memory_.force(0);
+    handler(nullptr, call_failure::response_too_large);
 }
 
 void buffered_call::do_complete() {
     // The handler may destroy this call.
     const response_handler handler = std::move(handler_);
     const http1_response response = std::move(response_);
-    handler(too_large_ ? nullptr : &response, call_failure::response_failed);
+    handler(&response, call_failure::response_failed);
 }
 
 void buffered_call::do_failed(call_failure failure) {
--- a/src/http1/http1_server.cc
+++ b/src/http1/http1_server.cc
@@ -19,6 +19,12 @@
     finish();
 }
 
+header_list http1_handler::do_error_headers(int, const request_head&) const {
+    header_list headers;
+    headers.add("Content-Type", "application/json");
+    return headers;
+}
+
 absl::StatusOr<std::unique_ptr<http1_server>> http1_server::make(event_loop& loop,
                                                                  const clock& time,
                                                                  const endpoint& address,
--- a/src/http1/server_connection.cc
+++ b/src/http1/server_connection.cc
@@ -16,6 +16,7 @@
 constexpr int request_timeout = 408;
 constexpr int payload_too_large = 413;
 constexpr int header_fields_too_large = 431;
+constexpr int service_unavailable = 503;
 
 /// Sends the response of one request; keeps the connection alive while its owner holds it.
 class server_exchange final : public http1_exchange {
@@ -34,6 +35,7 @@
     [[nodiscard]] std::size_t do_unsent_bytes() const override {
         return connection_->unsent_bytes();
     }
+    [[nodiscard]] bool do_is_backed_up() const override { return connection_->is_backed_up(); }
 
 private:
     std::shared_ptr<server_connection> connection_;
@@ -45,6 +47,8 @@
                                      std::shared_ptr<tcp_connection> connection)
     : server_(server), connection_(std::move(connection)),
       parser_(message_parser::kind::request, *this, server.limits_.max_head_bytes),
+      request_memory_(server.loop_.buffers(), memory_use::traffic),
+      pipelined_memory_(server.loop_.buffers(), memory_use::traffic),
       last_activity_(server.clock_.now()) {}
 
 void server_connection::do_data(std::string_view bytes) {
@@ -53,10 +57,7 @@
         return;
     }
     if (state_ == state::responding) {
-        pipelined_bytes_ += bytes;
-        if (pipelined_bytes_.size() > max_pipelined_bytes) {
-            connection_->pause_reading();
-        }
+        keep_pipelined(bytes);
         return;
     }
     last_activity_ = server_.clock_.now();
@@ -69,8 +70,10 @@
     if (!had_begun && parser_.has_begun()) {
         request_started_ = last_activity_;
     }
-    if (body_too_large_) {
-        reject(payload_too_large);
+    memory_exhausted_ =
+        memory_exhausted_ || !request_memory_.resize(request_memory_.size() + consumed);
+    if (body_too_large_ || memory_exhausted_) {
+        reject(body_too_large_ ? payload_too_large : service_unavailable);
         return;
     }
     switch (parser_.state()) {
@@ -80,7 +83,7 @@
         reject(parser_.is_head_too_large() ? header_fields_too_large : bad_request);
         return;
     case parse_state::complete:
-        pipelined_bytes_ += bytes.substr(consumed);
+        keep_pipelined(bytes.substr(consumed));
         dispatch();
         return;
     }
@@ -93,6 +96,11 @@
         body_too_large_ = true;
         return;
     }
+    if (!request_memory_.fits(request_memory_.size() + head_.content_length.value_or(0))) {
+        memory_exhausted_ = true;
+        return;
+    }
+    body_.reserve(head_.content_length.value_or(0)); // Growing would take twice as much.
     if (const auto expect = head_.headers.find("Expect");
         expect && has_token(*expect, "100-continue") && head_.has_body()) {
         connection_->write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -100,13 +108,23 @@
 }
 
 void server_connection::do_body(std::string_view bytes) {
-    if (body_too_large_ || body_.size() + bytes.size() > server_.limits_.max_body_bytes) {
-        body_too_large_ = true;
+    body_too_large_ =
+        body_too_large_ || body_.size() + bytes.size() > server_.limits_.max_body_bytes;
+    if (body_too_large_ || memory_exhausted_) {
         return;
     }
     body_ += bytes;
 }
 
+void server_connection::keep_pipelined(std::string_view bytes) {
+    pipelined_bytes_ += bytes;
+    pipelined_memory_.force(pipelined_bytes_.size());
+    const std::size_t next = pipelined_bytes_.size() + server_.loop_.read_buffer().size();
+    if (pipelined_bytes_.size() > max_pipelined_bytes || !pipelined_memory_.fits(next)) {
+        connection_->pause_reading();
+    }
+}
+
 void server_connection::dispatch() {
     state_ = state::responding;
     keep_alive_ = head_.keep_alive;
@@ -163,6 +181,7 @@
         return;
     }
     state_ = state::reading;
+    request_memory_.force(0);
     parser_.restart();
     last_activity_ = server_.clock_.now();
     if (!is_dispatching_) {
@@ -185,6 +204,7 @@
     }
     connection_->resume_reading();
     if (!pipelined_bytes_.empty()) {
+        pipelined_memory_.force(0);
         parse(std::exchange(pipelined_bytes_, {}));
     }
 }
@@ -192,8 +212,9 @@
 void server_connection::reject(int status) {
     state_ = state::responding;
     keep_alive_ = false;
-    header_list headers;
-    headers.add("Content-Type", "application/json");
+    body_ = {};
+    request_memory_.force(0);
+    const header_list headers = server_.handler_.error_headers(status, head_);
     const std::string body = server_.handler_.error_body(status);
     begin_response(status, headers, body_framing::length, body.size());
     write_body(body);
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jujubetide/base/memory_share.h"
 #include "jujubetide/http1/http1_server.h"
 #include "jujubetide/http1/message_parser.h"
 
@@ -28,6 +29,7 @@
     void finish_response();
     void abort_response();
     [[nodiscard]] std::size_t unsent_bytes() const { return connection_->unsent_bytes(); }
+    [[nodiscard]] bool is_backed_up() const { return connection_->is_backed_up(); }
 
 protected:
     void do_data(std::string_view bytes) override;
@@ -42,6 +44,8 @@
     void read_next_request();
     void parse(std::string_view bytes);
     void dispatch();
+    /// Keeps bytes that follow the current request; pauses reading when they are too many.
+    void keep_pipelined(std::string_view bytes);
     void reject(int status);
     void linger();
     /// Whether the caller has yet to take bytes of an answer, which counts as activity. A caller
@@ -57,8 +61,12 @@
     request_head head_;
     std::string body_;
     bool body_too_large_ = false;
+    bool memory_exhausted_ = false;
+    /// What the current request takes, until it has been answered.
+    memory_share request_memory_;
     /// Bytes received after the current request.
     std::string pipelined_bytes_;
+    memory_share pipelined_memory_;
     std::shared_ptr<exchange_events> exchange_;
     body_framing response_framing_ = body_framing::none;
     bool keep_alive_ = true;
--- a/src/net/uv_tcp_connection.cc
+++ b/src/net/uv_tcp_connection.cc
@@ -2,6 +2,8 @@
 // queued.
 #include "net/uv_tcp_connection.h"
 
+#include "jujubetide/base/memory_share.h"
+
 #include <cstring>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -20,9 +22,17 @@
 // Where TCP_USER_TIMEOUT is set, Linux gives up keep-alive probes by it, whatever their number.
 static_assert(user_timeout_ms == 1'000U * probe_interval_s * (1 + max_unanswered_probes));
 
+/// High-water mark of a connection while the loop's buffers are short of memory.
+constexpr std::size_t short_of_memory_bytes = std::size_t{16} * 1024;
+
 struct queued_write {
+    queued_write(memory_budget& buffers, std::string_view unsent)
+        : bytes(unsent), memory(buffers, memory_use::traffic) {
+        memory.force(bytes.size());
+    }
     uv_write_t request{};
     std::string bytes;
+    memory_share memory;
 };
 
 } // namespace
@@ -148,8 +158,8 @@
         self->end_after_failed_write();
         return;
     }
-    if (self->above_high_water_ && self->do_unsent_bytes() < low_water_bytes) {
-        self->above_high_water_ = false;
+    if (self->is_backed_up_ && self->do_unsent_bytes() < low_water_bytes) {
+        self->is_backed_up_ = false;
         if (self->events_ != nullptr) {
             self->events_->on_drained();
         }
@@ -184,8 +194,7 @@
             return;
         }
     }
-    auto* write = new queued_write;
-    write->bytes = std::string(bytes);
+    auto* write = new queued_write(loop_.buffers(), bytes);
     write->request.data = write;
     const uv_buf_t buffer =
         uv_buf_init(write->bytes.data(), static_cast<unsigned int>(write->bytes.size()));
@@ -193,7 +202,10 @@
         delete write; // The end of the connection follows as a read event.
         return;
     }
-    above_high_water_ = above_high_water_ || do_unsent_bytes() > high_water_bytes;
+    const std::size_t unsent = do_unsent_bytes();
+    const bool has_memory = loop_.buffers().allows(memory_use::traffic, 0, high_water_bytes);
+    is_backed_up_ =
+        is_backed_up_ || unsent > (has_memory ? high_water_bytes : short_of_memory_bytes);
 }
 
 void uv_tcp_connection::do_finish_sending() {
--- a/src/net/uv_tcp_connection.h
+++ b/src/net/uv_tcp_connection.h
@@ -25,6 +25,7 @@
     void do_write(std::string_view bytes) override;
     void do_finish_sending() override;
     [[nodiscard]] std::size_t do_unsent_bytes() const override;
+    [[nodiscard]] bool do_is_backed_up() const override { return is_backed_up_; }
     [[nodiscard]] bool do_has_unread_bytes() const override;
     void do_set_reading(bool enabled) override;
     void do_close(bool reset) override;
@@ -57,9 +58,9 @@
     bool sending_finished_ = false;
     /// The system has rejected bytes: nothing more can be sent.
     bool write_failed_ = false;
-    /// The unsent bytes exceeded `high_water_bytes` and have not fallen below `low_water_bytes`
+    /// The unsent bytes exceeded the high-water mark and have not fallen below `low_water_bytes`
     /// since.
-    bool above_high_water_ = false;
+    bool is_backed_up_ = false;
 };
 
 } // namespace jujubetide
--- a/src/node/call_forwarder.cc
+++ b/src/node/call_forwarder.cc
@@ -80,7 +80,7 @@
         }
         has_body_ = true;
         exchange_->write(bytes);
-        if (exchange_->unsent_bytes() > tcp_connection::high_water_bytes && call_) {
+        if (exchange_->is_backed_up() && call_) {
             call_->pause();
         }
     }
--- a/src/node/caller_request_handler.cc
+++ b/src/node/caller_request_handler.cc
@@ -20,6 +20,8 @@
 constexpr micros no_config_retry{500'000};
 /// Retry delay for callers of a node that stops: another node may take the call at once.
 constexpr micros stopping_retry{50'000};
+/// Retry delay for callers whose request the node has no memory for.
+constexpr micros memory_retry{500'000};
 
 std::string json_error_body(std::string_view cause) {
     return absl::StrCat(R"({"error":")", absl::string_view(cause.data(), cause.size()), R"("})");
@@ -99,11 +101,21 @@
 }
 
 std::string caller_request_handler::do_error_body(int status) const {
-    state_.log.write(call_refused, {{"id", "-"},
-                                    {"status", std::to_string(status)},
-                                    {"cause", "bad_message"},
-                                    {"config", "-"}});
-    return json_error_body(reason_phrase(status));
+    const bool is_short_of_memory = status == service_unavailable;
+    const char* cause = is_short_of_memory ? "node_memory" : "bad_message";
+    state_.metrics.on_call({}, call_refused.name, cause, micros{0});
+    state_.log.write(
+        call_refused,
+        {{"id", "-"}, {"status", std::to_string(status)}, {"cause", cause}, {"config", "-"}});
+    return json_error_body(is_short_of_memory ? cause : reason_phrase(status));
+}
+
+header_list caller_request_handler::do_error_headers(int status, const request_head& head) const {
+    const absl::StatusOr<call_fields> fields = state_.codec.read_call(head);
+    const bool may_return = status == service_unavailable;
+    return state_.codec.local_response_headers(fields.ok() ? fields->attempt_id : "",
+                                               may_return ? std::optional<micros>(memory_retry)
+                                                          : std::nullopt);
 }
 
 } // namespace jujubetide
--- a/src/node/event_splitter.cc
+++ b/src/node/event_splitter.cc
@@ -32,7 +32,7 @@
         consumed = end;
     }
     std::string complete_events = incomplete_.substr(0, consumed);
-    incomplete_.erase(0, consumed);
+    incomplete_ = incomplete_.substr(consumed); // Keeps no memory of a large event.
     return complete_events;
 }
 
--- a/src/node/event_splitter.h
+++ b/src/node/event_splitter.h
@@ -16,7 +16,7 @@
     /// Appends `bytes` and returns the buffered text up to the end of the last complete event.
     std::string feed(std::string_view bytes);
     /// Discards the buffered start of an event.
-    void discard_incomplete() { incomplete_.clear(); }
+    void discard_incomplete() { incomplete_ = {}; }
     [[nodiscard]] const std::string& incomplete() const { return incomplete_; }
     /// The id of the last complete event that had one, or empty.
     [[nodiscard]] const std::string& last_event_id() const { return last_event_id_; }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -40,6 +40,9 @@
 /// File descriptors reserved for everything but caller connections.
 constexpr std::size_t reserved_descriptors = 800;
 
+/// Part of the process's memory that connections may buffer: strings take up to twice their size.
+constexpr std::size_t buffer_divisor = 3;
+
 /// How often rows of dead nodes are removed and old prompt records expire.
 constexpr micros cleaning_period{5'000'000};
 
@@ -122,6 +125,7 @@
 
 absl::StatusOr<std::unique_ptr<node>> node::make(const node_settings& settings,
                                                  const node_dependencies& dependencies) {
+    dependencies.loop.buffers().set_limit(settings.memory / buffer_divisor);
     auto parts = std::make_unique<components>(settings, dependencies);
     auto callers = http1_server::make(dependencies.loop, dependencies.time,
                                       settings.caller_endpoint, parts->front);
@@ -176,6 +180,7 @@
 node::node(std::unique_ptr<components> parts) : components_(std::move(parts)) {}
 
 node::~node() {
+    components_->state.refuses_calls = true; // Also those that follow on the same connections.
     const auto running = components_->state.running_calls;
     for (const auto& call : running) {
         call->abandon();
@@ -313,6 +318,9 @@
     now.brittle_servers = state.brittle.count();
     now.server_links_lost = state.links.are_lost();
     now.leaving_servers = state.backends.notices().count();
+    now.buffered_bytes = state.loop.buffers().used();
+    now.buffer_limit = state.loop.buffers().limit();
+    now.buffer_refusals = state.loop.buffers().refusals();
     now.era = components_->store.era().value_or(store_era());
     return state.metrics.text(now);
 }
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -305,8 +305,9 @@
     response_fields_ = {};
     attempt_has_events_ = false;
     has_engine_survived_ = false;
-    response_body_.clear();
+    response_body_ = {};
     event_splitter_.discard_incomplete();
+    response_memory_.force(0);
     tried_servers_.push_back(server_.id);
     sent_at_ = state_.time.now();
     last_event_at_ = sent_at_;
@@ -446,7 +447,15 @@
     if (success &&
         (!is_for_this_call || !response_fields_.is_signed || response_fields_.is_encoded)) {
         on_attempt_failed(attempt_outcome::broken);
+        return true;
+    }
+    const std::uint64_t length =
+        head.framing == body_framing::length && !(is_stream() && success) ? head.content_length : 0;
+    if (length > max_response_bytes || !response_memory_.fits(length)) {
+        on_answer_too_large(length);
+        return true;
     }
+    response_body_.reserve(length); // Growing would take twice as much.
     return true;
 }
 
@@ -512,18 +521,30 @@
         forward_events(bytes);
         return;
     }
-    if (response_body_.size() + bytes.size() > max_response_bytes) {
-        on_attempt_failed(attempt_outcome::broken);
+    const std::size_t size = response_body_.size() + bytes.size();
+    if (size > max_response_bytes || !response_memory_.resize(size)) {
+        on_answer_too_large(size);
         return;
     }
     response_body_ += bytes;
 }
 
+void proxied_call::on_answer_too_large(std::size_t bytes) {
+    const memory_budget& buffers = state_.client.buffers();
+    state_.log.write(answer_too_large, {{"id", request_.fields.attempt_id},
+                                        {"server", server_.id.str()},
+                                        {"bytes", absl::StrCat(bytes)},
+                                        {"buffered", absl::StrCat(buffers.used())},
+                                        {"limit", absl::StrCat(buffers.limit())}});
+    on_attempt_failed(progress_.has_begun ? attempt_outcome::broken_midway
+                                          : attempt_outcome::broken);
+}
+
 void proxied_call::forward_events(std::string_view bytes) {
     const std::string complete_events = event_splitter_.feed(bytes);
-    if (event_splitter_.incomplete().size() > event_splitter::max_event_bytes) {
-        on_attempt_failed(progress_.has_begun ? attempt_outcome::broken_midway
-                                              : attempt_outcome::broken);
+    const std::size_t incomplete = event_splitter_.incomplete().size();
+    if (incomplete > event_splitter::max_event_bytes || !response_memory_.resize(incomplete)) {
+        on_answer_too_large(incomplete);
         return;
     }
     if (complete_events.empty()) {
@@ -545,7 +566,7 @@
         begin_stream_response();
     }
     request_.exchange->write(complete_events);
-    if (request_.exchange->unsent_bytes() > tcp_connection::high_water_bytes && call_) {
+    if (request_.exchange->is_backed_up() && call_) {
         call_->pause();
     }
 }
@@ -702,6 +723,7 @@
     const std::uint32_t server_calls = state_.loads.total(server_.id).running;
     end_attempt();
     event_splitter_.discard_incomplete();
+    response_memory_.force(response_body_.size());
     switch (outcome) {
     case attempt_outcome::not_sent:
     case attempt_outcome::wrong_server:
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -3,6 +3,7 @@
 #include "node/event_splitter.h"
 #include "node/serving_state.h"
 
+#include "jujubetide/base/memory_share.h"
 #include "jujubetide/http1/http1_server.h"
 #include "jujubetide/serving/retry_policy.h"
 
@@ -91,6 +92,8 @@
     /// Whether the successful response that has just ended lacks a part of its body.
     [[nodiscard]] bool is_truncated() const;
     void forward_response();
+    /// The answer has at least `bytes` that the node would have to buffer, and may not.
+    void on_answer_too_large(std::size_t bytes);
     void on_attempt_failed(attempt_outcome outcome);
     /// The connection broke after the request was sent.
     void on_connection_broken();
@@ -154,6 +157,8 @@
     bool waits_for_crash_check_ = false;
     std::string response_body_;
     event_splitter event_splitter_;
+    /// What the two above take.
+    memory_share response_memory_{state_.client.buffers(), memory_use::traffic};
 
     std::unique_ptr<timer_subscription> deadline_timer_;
     std::unique_ptr<timer_subscription> stall_timer_;
--- a/src/node/serving_metrics.cc
+++ b/src/node/serving_metrics.cc
@@ -120,6 +120,9 @@
     set("limited_servers", static_cast<double>(now.limited_servers));
     set("leaving_servers", static_cast<double>(now.leaving_servers));
     set("store_era", static_cast<double>(now.era.value()));
+    set("buffered_bytes", static_cast<double>(now.buffered_bytes));
+    set("buffer_limit_bytes", static_cast<double>(now.buffer_limit));
+    set("buffer_refusals", static_cast<double>(now.buffer_refusals));
     set("brittle_servers", static_cast<double>(now.brittle_servers));
     set("server_links_lost", now.server_links_lost ? 1.0 : 0.0);
     return prometheus::TextSerializer().Serialize(registry_.Collect());
--- a/src/node/serving_metrics.h
+++ b/src/node/serving_metrics.h
@@ -58,6 +58,9 @@
         bool server_links_lost = false;
         /// Servers that say in answers that they leave.
         std::size_t leaving_servers = 0;
+        std::size_t buffered_bytes = 0;
+        std::size_t buffer_limit = 0;
+        std::uint64_t buffer_refusals = 0;
         /// The newest era that the store has named.
         jujubetide::store_era era;
     };
--- a/tests/adapter/boot_settings_test.cc
+++ b/tests/adapter/boot_settings_test.cc
@@ -74,3 +74,18 @@
     REQUIRE_FALSE(settings.ok());
     CHECK(std::string(settings.status().message()).find("local.toml:2") != std::string::npos);
 }
+
+TEST_CASE("the memory of the process is read in megabytes and must not be 0") {
+    const auto with_memory = [](const std::string& value) {
+        std::string text = complete_settings;
+        text.replace(text.find("maxFds"), 0, "memoryMb = " + value + "\n");
+        return platform::parse_boot_settings(text, "local.toml");
+    };
+    CHECK(with_memory("260")->memory == std::size_t{260} << 20U);
+    for (const char* value : {"0", "-1", "\"much\""}) {
+        const auto settings = with_memory(value);
+        REQUIRE_FALSE(settings.ok());
+        CHECK(std::string(settings.status().message()).find("limits.memoryMb") !=
+              std::string::npos);
+    }
+}
--- a/tests/http1/http1_client_test.cc
+++ b/tests/http1/http1_client_test.cc
@@ -1,4 +1,5 @@
 #include "support/blocking_peer.h"
+#include "support/endless_server.h"
 #include "support/loop_runner.h"
 #include "support/manual_clock.h"
 #include "support/recorded_call.h"
@@ -194,3 +195,66 @@
     run_for(loop, millis{50});
     CHECK(server.calls().empty());
 }
+
+namespace {
+
+/// How a buffered call to a server that answers with `first`, then with `repeated` without end,
+/// fails; `timed_out` is the call's own time limit.
+call_failure failure_of_buffered_call(client_fixture& fixture, const std::string& first,
+                                      const std::string& repeated) {
+    endless_server server(fixture.loop, first, repeated);
+    call_options options;
+    options.timeout = millis{10'000};
+    std::optional<call_failure> result;
+    const auto call = buffered_call::start(
+        fixture.client, server.address(), serialize_request("GET", "/", {}, ""), options,
+        [&](const http1_response* response, call_failure failure) {
+            CHECK(response == nullptr);
+            result = failure;
+        });
+    REQUIRE(run_until(fixture.loop, [&] { return result.has_value(); }));
+    CHECK(run_until(fixture.loop,
+                    [&] { return server.all_closed() && fixture.loop.buffers().used() == 0; }));
+    return *result;
+}
+
+} // namespace
+
+TEST_CASE("a buffered response without end does not last until its time limit") {
+    client_fixture fixture;
+    CHECK(failure_of_buffered_call(fixture, "HTTP/1.1 200 OK\r\n\r\n", "a") ==
+          call_failure::response_too_large);
+}
+
+TEST_CASE("a buffered response whose length is too large fails before its body is read") {
+    client_fixture fixture;
+    CHECK(failure_of_buffered_call(fixture, "HTTP/1.1 200 OK\r\nContent-Length: 99000000\r\n\r\n",
+                                   "") == call_failure::response_too_large);
+}
+
+TEST_CASE("a buffered response is limited by what all connections buffer together") {
+    client_fixture fixture;
+    fixture.loop.buffers().set_limit(1'000'000);
+    CHECK(failure_of_buffered_call(fixture, "HTTP/1.1 200 OK\r\n\r\n", "a") ==
+          call_failure::response_too_large);
+}
+
+TEST_CASE("heads without end of many responses are limited together") {
+    client_fixture fixture;
+    fixture.loop.buffers().set_limit(100'000);
+    endless_server server(fixture.loop, "HTTP/1.1 200 OK\r\nX-Long: ", "a");
+    std::vector<std::unique_ptr<recorded_call>> events;
+    std::vector<std::unique_ptr<http1_call>> calls;
+    for (int i = 0; i < 50; ++i) {
+        events.push_back(std::make_unique<recorded_call>());
+        calls.push_back(fixture.client.call(server.address(), serialize_request("GET", "/", {}, ""),
+                                            {}, *events.back()));
+    }
+    std::size_t peak = 0;
+    CHECK(run_until(fixture.loop, [&] {
+        peak = std::max(peak, fixture.loop.buffers().used());
+        return std::all_of(events.begin(), events.end(),
+                           [](const auto& one) { return one->over(); });
+    }));
+    CHECK(peak <= fixture.loop.buffers().limit());
+}
--- a/tests/node/node_process.cc
+++ b/tests/node/node_process.cc
@@ -28,9 +28,9 @@
 } // namespace
 
 node_process::node_process(std::filesystem::path folder, int index, const endpoint& store,
-                           const std::optional<endpoint>& cloud)
+                           const std::optional<endpoint>& cloud, int memory_mb)
     : folder_(std::move(folder)), name_("n" + std::to_string(index)), address_(address_of(index)) {
-    write_settings(store, cloud);
+    write_settings(store, cloud, memory_mb);
 }
 
 node_process::~node_process() {
@@ -52,8 +52,8 @@
     return {address_, readiness_port};
 }
 
-void node_process::write_settings(const endpoint& store,
-                                  const std::optional<endpoint>& cloud) const {
+void node_process::write_settings(const endpoint& store, const std::optional<endpoint>& cloud,
+                                  int memory_mb) const {
     const std::string duties = cloud ? "[cloud]\naddress = \"" + cloud->str() +
                                            "\"\nduties = [\"usage_report\", \"autoscale\"]\n"
                                      : "";
@@ -63,7 +63,7 @@
                                  << caller_endpoint().str() << "\"\nready = \""
                                  << readiness_endpoint().str() << "\"\ndirectory = \"" << address_
                                  << ":8220\"\n[platform]\naddress = \"" << store.str() << "\"\n"
-                                 << duties << R"([limits]
+                                 << duties << "[limits]\nmemoryMb = " << memory_mb << R"(
 cpuShare = 1.0
 cores = 1
 maxFds = 1000
@@ -115,6 +115,16 @@
     }
 }
 
+std::size_t node_process::peak_memory() const {
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    std::string word;
+    std::size_t kilobytes = 0;
+    while (status >> word && word != "VmHWM:") {
+    }
+    status >> kilobytes;
+    return kilobytes << 10U;
+}
+
 std::optional<int> node_process::take_exit_code() {
     int status = 0;
     if (pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) != pid_) {
--- a/tests/node/node_process.h
+++ b/tests/node/node_process.h
@@ -16,7 +16,7 @@
     /// `index` is from 1 to 250. Settings and log are written to `folder`. With a `cloud`, the node
     /// takes its turn in the duties.
     node_process(std::filesystem::path folder, int index, const endpoint& store,
-                 const std::optional<endpoint>& cloud = std::nullopt);
+                 const std::optional<endpoint>& cloud = std::nullopt, int memory_mb = 260);
     ~node_process();
     node_process(const node_process&) = delete;
     node_process& operator=(const node_process&) = delete;
@@ -27,9 +27,12 @@
     std::optional<int> take_exit_code();
     [[nodiscard]] endpoint caller_endpoint() const;
     [[nodiscard]] endpoint readiness_endpoint() const;
+    /// The most memory that the running process has had, in bytes.
+    [[nodiscard]] std::size_t peak_memory() const;
 
 private:
-    void write_settings(const endpoint& store, const std::optional<endpoint>& cloud) const;
+    void write_settings(const endpoint& store, const std::optional<endpoint>& cloud,
+                        int memory_mb) const;
     [[nodiscard]] std::filesystem::path file(const std::string& suffix) const;
 
     std::filesystem::path folder_;
