--- a/include/jujubetide/base/memory_budget.h
+++ b/include/jujubetide/base/memory_budget.h
@@ -21,6 +21,7 @@
     static constexpr std::size_t always_allowed_bytes = 4'096;
 
     memory_budget() = default;
+    ~memory_budget() = default;
     memory_budget(const memory_budget&) = delete;
     memory_budget& operator=(const memory_budget&) = delete;
 
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -1,3 +1,4 @@
+#include "support/eventually.h"
 #include "support/raw_call.h"
 
 #include "jujubetide/http/http_client.h"
@@ -143,7 +144,13 @@
         });
     });
     REQUIRE(server.ok());
+    const auto count = [&] {
+        const std::lock_guard lock(mutex);
+        return told.size();
+    };
+    // An answer may be told after its caller has it.
     REQUIRE(http_call((*server)->address(), "GET", "/known", "", {}).ok());
+    REQUIRE(eventually([&] { return count() == 1; }));
     REQUIRE(http_call((*server)->address(), "POST", "/known", "x", {}).ok());
     (*server)->stop();
     CHECK(told == std::vector<std::string>{"GET 200", "POST 404"});
--- a/tests/node/server_limit_test.cc
+++ b/tests/node/server_limit_test.cc
@@ -166,6 +166,13 @@
     fixture.servers[0]->limit = "0.5";
     fixture.servers[1]->limit = "0.5";
     fixture.load(call_gap, millis{1'000});
+    // Each limit allows one call in every two seconds of the clock, counted from an even one.
+    const auto since_allowed = [&] {
+        return fixture.time.wall_now().time_since_epoch() % std::chrono::seconds(2);
+    };
+    while (since_allowed() < millis{500} || since_allowed() > millis{1'500}) {
+        fixture.load(call_gap, millis{50});
+    }
     const time_point began = fixture.time.now();
     recorded_call refused;
     const auto sent = fixture.client.call(fixture.members[0]->instance->caller_endpoint(),
