The budget of buffers lets a few of the largest answers through, and bounds pipelined requests

Change: connections may buffer half of memoryMb. Four answers of 15 MiB at the same time are passed on whole (new test, real process). With the larger part the pipelined requests of 400 callers took 42.2 MB of 40 MB: each connection kept the first 64 KiB that it had read, whatever the budget said. Bytes that there is no memory for are now dropped, and the connection ends after the response in progress, so that the caller sends them again on another.

--- a/src/http1/server_connection.cc
+++ b/src/http1/server_connection.cc
@@ -117,8 +117,14 @@
 }
 
 void server_connection::keep_pipelined(std::string_view bytes) {
+    if (drops_pipelined_ || !pipelined_memory_.resize(pipelined_bytes_.size() + bytes.size())) {
+        drops_pipelined_ = true;
+        keep_alive_ = false;
+        pipelined_bytes_ = {};
+        pipelined_memory_.force(0);
+        return;
+    }
     pipelined_bytes_ += bytes;
-    pipelined_memory_.force(pipelined_bytes_.size());
     const std::size_t next = pipelined_bytes_.size() + server_.loop_.read_buffer().size();
     if (pipelined_bytes_.size() > max_pipelined_bytes || !pipelined_memory_.fits(next)) {
         connection_->pause_reading();
@@ -127,7 +133,7 @@
 
 void server_connection::dispatch() {
     state_ = state::responding;
-    keep_alive_ = head_.keep_alive;
+    keep_alive_ = head_.keep_alive && !drops_pipelined_;
     is_dispatching_ = true;
     auto events = server_.handler_.on_request(
         std::exchange(head_, {}), std::exchange(body_, {}), request_started_,
--- a/src/http1/server_connection.h
+++ b/src/http1/server_connection.h
@@ -44,7 +44,9 @@
     void read_next_request();
     void parse(std::string_view bytes);
     void dispatch();
-    /// Keeps bytes that follow the current request; pauses reading when they are too many.
+    /// Keeps bytes that follow the current request; pauses reading when they are too many. Without
+    /// memory for them, the connection ends after the current response and its caller sends the
+    /// requests again on another.
     void keep_pipelined(std::string_view bytes);
     void reject(int status);
     void linger();
@@ -66,6 +68,7 @@
     memory_share request_memory_;
     /// Bytes received after the current request.
     std::string pipelined_bytes_;
+    bool drops_pipelined_ = false;
     memory_share pipelined_memory_;
     std::shared_ptr<exchange_events> exchange_;
     body_framing response_framing_ = body_framing::none;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -40,8 +40,8 @@
 /// File descriptors reserved for everything but caller connections.
 constexpr std::size_t reserved_descriptors = 800;
 
-/// Part of the process's memory that connections may buffer: strings take up to twice their size.
-constexpr std::size_t buffer_divisor = 3;
+/// Part of the memory of the process that connections may buffer; the rest is for the node itself.
+constexpr std::size_t buffer_divisor = 2;
 
 /// How often rows of dead nodes are removed and old prompt records expire.
 constexpr micros cleaning_period{5'000'000};
--- a/tests/node/memory_bound_test.cc
+++ b/tests/node/memory_bound_test.cc
@@ -200,6 +200,28 @@
     run.check_memory();
 }
 
+TEST_CASE("a few of the largest answers are passed on whole at the same time") {
+    memory_run run;
+    const std::string body(std::size_t{15} << 20U, 'a');
+    scripted_server large(run.loop, run.time,
+                          [&](scripted_call& call) { answer(call, 200, body); });
+    run.add_plain_server(large.address());
+    run.start();
+    std::vector<std::unique_ptr<running_call>> calls(4);
+    for (auto& call : calls) {
+        call = run.send("/often/");
+    }
+    REQUIRE(run_until(run.loop, [&] {
+        return std::all_of(calls.begin(), calls.end(),
+                           [](const auto& one) { return one->events.over(); });
+    }));
+    for (const auto& call : calls) {
+        CHECK(call->events.head.status == 200);
+        CHECK(call->events.body.size() == body.size());
+    }
+    run.check_memory();
+}
+
 TEST_CASE("an answer whose length is too large fails before its body is read") {
     node_fixture fixture;
     const nlohmann::json changes{{"timeoutMs", 20'000}, {"maxAttempts", 1}};
