--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -77,6 +77,47 @@
     ::close(socket);
 }
 
+TEST_CASE("a request that there is no memory for gets 503 and reaches no handler") {
+    const std::string request = GENERATE(
+        // The first is known to be too large by its head alone.
+        std::string("POST / HTTP/1.1\r\nContent-Length: 90000\r\n\r\n"),
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nea60\r\n" + std::string(60'000, 'x'));
+    server_fixture fixture(echo);
+    fixture.loop.buffers().set_limit(50'000);
+    const int socket = connect_to(fixture.server.address());
+    const std::string received = fixture.send_and_read(socket, request, "\r\n\r\n{}");
+    CHECK(received.substr(0, 12) == "HTTP/1.1 503");
+    CHECK(received.find("Connection: close") != std::string::npos);
+    CHECK(fixture.server.calls().empty());
+    CHECK(fixture.loop.buffers().used() == 0);
+    // Others are answered.
+    const int other = connect_to(fixture.server.address());
+    CHECK(fixture.send_and_read(other, "GET /2 HTTP/1.1\r\n\r\n", "/2 ").find("200") !=
+          std::string::npos);
+    ::close(other);
+    ::close(socket);
+}
+
+TEST_CASE("a connection ends after the response when there is no memory for pipelined requests") {
+    server_fixture fixture([](scripted_call&) {});
+    fixture.loop.buffers().set_limit(50'000);
+    const int socket = connect_to(fixture.server.address());
+    std::string requests;
+    while (requests.size() < 60'000) {
+        requests += "GET /1 HTTP/1.1\r\n\r\n";
+    }
+    send_all(socket, requests);
+    REQUIRE(run_until(fixture.loop, [&] { return fixture.server.calls().size() == 1; }));
+    run_for(fixture.loop, millis{50});
+    CHECK(fixture.loop.buffers().used() < 50'000);
+    echo(*fixture.server.calls()[0]);
+    const std::string received = fixture.send_and_read(socket, "", "/1 ");
+    CHECK(received.find("Connection: close") != std::string::npos);
+    run_for(fixture.loop, millis{50});
+    CHECK(fixture.server.calls().size() == 1);
+    ::close(socket);
+}
+
 TEST_CASE("a request whose headers are not complete in time gets 408") {
     server_fixture fixture(echo);
     http1_limits limits;
