Memory tests under the sanitizers: their own memory does not count, and no call of the test leaks

In the sanitizer builds the process's memory includes what the sanitizer keeps (freed blocks, shadow memory), so the peak is compared in the plain build only; everything else is checked there too. The test of pipelined requests left 400 calls of its own server unanswered as it ended, which LeakSanitizer reported: they end with the node's connections now. Address build: the seven tests of memory and of the stopping holder pass.

--- a/tests/node/memory_bound_test.cc
+++ b/tests/node/memory_bound_test.cc
@@ -15,6 +15,12 @@
 
 namespace {
 
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+// What the sanitizer keeps for itself counts as the process's memory.
+constexpr bool is_memory_comparable = false;
+#else
+constexpr bool is_memory_comparable = true;
+#endif
 constexpr std::size_t call_count = 120;
 const std::string own_head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Upstream-Signature: s\r\n";
 
@@ -103,7 +109,9 @@
     void check_memory() {
         CHECK_FALSE(node->take_exit_code());
         CHECK(node->peak_memory() > 0);
-        CHECK(node->peak_memory() < static_cast<std::size_t>(memory_mb_) << 20U);
+        if (is_memory_comparable) {
+            CHECK(node->peak_memory() < static_cast<std::size_t>(memory_mb_) << 20U);
+        }
     }
 
     event_loop loop;
@@ -256,4 +264,7 @@
     run_for(run.loop, millis{3'000});
     CHECK(run.is_good_call_answered());
     run.check_memory();
+    run.node.reset();
+    // The server's calls, which it never answers, end with their connections.
+    run_for(run.loop, millis{300});
 }
