Lease: a release also ends a lease whose last renewal got no reply

Callers saw: after a stop of a process that orders, the orders rest for the lease's whole duration (15 s by default) if its last renewal, or the release itself, got no reply from the table.

Cause: lease_keeper::release wrote only while the row was known. After a write without a reply it returned OK and wrote nothing; a release without a reply was not repeated, and the error of a release was dropped without a log line.

Change: release reads the row first where it is not known and is repeated, at most three times, when it got no reply or met a late renewal. lease_state::release goes by the row, not by what the process believes. A failure is logged as JT3205 lease_release_failed.

--- a/include/jujubetide/lease/lease_keeper.h
+++ b/include/jujubetide/lease/lease_keeper.h
@@ -23,7 +23,9 @@
     /// For an owner that is called more often than it renews: steps the first time, and then once
     /// `period` has passed since. A renewal that fails is told by `held`.
     void step_each(micros period);
-    /// Gives the lease up at once and tells others. Orders that were permitted must have ended.
+    /// Gives the lease up at once and tells others, also after a renewal without a reply. Orders
+    /// that were permitted must have ended. Returns the table's error; others then wait for the
+    /// lease's end.
     absl::Status release();
     /// Another holder's fencing number was met at a server.
     void lost();
@@ -35,6 +37,7 @@
     [[nodiscard]] const lease_id& lease() const { return lease_; }
 
 private:
+    absl::Status try_release();
     absl::Status read();
     absl::Status write(const lease_write& write);
     void log_change(bool held_before);
--- a/include/jujubetide/lease/lease_state.h
+++ b/include/jujubetide/lease/lease_state.h
@@ -88,7 +88,8 @@
     /// Held, and to be taken anew after a restore.
     [[nodiscard]] bool must_retake() const { return holds_ && must_retake_; }
 
-    /// Gives the lease up and returns the write that tells others, or nothing when not held.
+    /// Gives the lease up and returns the write that tells others, or nothing when the row is not
+    /// known to name this process.
     [[nodiscard]] std::optional<lease_write> release(time_point now);
     /// Gives the lease up for good. From now on, `next_write` returns the write that tells others
     /// for as long as the row names this process, whatever becomes of earlier writes.
--- a/src/lease/lease_keeper.cc
+++ b/src/lease/lease_keeper.cc
@@ -11,6 +11,8 @@
 namespace jujubetide {
 namespace {
 
+constexpr int max_release_attempts = 3;
+
 std::string lease_key(const lease_id& lease) {
     return absl::StrCat("/leases/", lease.str());
 }
@@ -57,13 +59,30 @@
 
 absl::Status lease_keeper::release() {
     const std::lock_guard step_lock(step_mutex_);
+    absl::Status status;
+    for (int attempt = 0; attempt < max_release_attempts; ++attempt) {
+        status = try_release();
+        // A write without a reply, or one that met a late renewal, is settled by the row.
+        if (!absl::IsDeadlineExceeded(status) && !absl::IsAborted(status)) {
+            break;
+        }
+    }
+    if (!status.ok()) {
+        log_.write(lease_events::lease_release_failed,
+                   {{"lease", lease_.str()}, {"error", std::string(status.message())}});
+    }
+    return status;
+}
+
+absl::Status lease_keeper::try_release() {
+    const absl::Status known = read();
     std::optional<lease_write> release;
     {
         const std::lock_guard lock(mutex_);
         release = state_.release(clock_.now());
     }
-    if (!release) {
-        return absl::OkStatus();
+    if (!known.ok() || !release) {
+        return known;
     }
     return table_.commit({{{key_, release->expected}}, {{key_, to_text(release->record)}}})
         .status();
--- a/src/lease/lease_state.cc
+++ b/src/lease/lease_state.cc
@@ -100,12 +100,12 @@
 }
 
 std::optional<lease_write> lease_state::release(time_point now) {
-    const bool known = holds_ && !needs_read_ && !must_retake_;
+    const bool is_named = !needs_read_ && !must_retake_ && is_own(seen_->record);
     lost();
-    if (!known) {
+    if (!is_named) {
         return std::nullopt;
     }
-    return make_write("", fencing_, now);
+    return make_write("", seen_->record.fencing, now);
 }
 
 bool lease_state::is_released(time_point now) const {
--- a/tests/lease/lease_keeper_test.cc
+++ b/tests/lease/lease_keeper_test.cc
@@ -209,3 +209,45 @@
     CHECK(holders.a.held());
     CHECK_FALSE(holders.a.permit_order(true).ok());
 }
+
+TEST_CASE("a lease is free at once after a release that follows a renewal without a reply") {
+    two_holders<lease_keeper> holders;
+    holders.run(step_period, {&holders.a});
+    SECTION("the renewal took effect") {
+        holders.table_of_a.lost_commit_replies = 1;
+    }
+    SECTION("the renewal takes effect while the release is written") {
+        holders.table_of_a.late_commits = 1;
+        holders.table_of_a.before_commit = [&holders] {
+            holders.table_of_a.deliver_late_commits();
+        };
+    }
+    holders.table_of_a.failed_reads = 1;
+    holders.a.step().IgnoreError();
+    REQUIRE(holders.a.release().ok());
+    CHECK_FALSE(holders.a.held());
+    holders.b.step().IgnoreError();
+    CHECK(holders.b.held());
+}
+
+TEST_CASE("a release whose reply is lost is settled by the row") {
+    two_holders<lease_keeper> holders;
+    holders.run(step_period, {&holders.a});
+    SECTION("it took effect") {
+        holders.table_of_a.lost_commit_replies = 1;
+    }
+    SECTION("it did not take effect yet") {
+        holders.table_of_a.late_commits = 1;
+    }
+    REQUIRE(holders.a.release().ok());
+    holders.b.step().IgnoreError();
+    CHECK(holders.b.held());
+}
+
+TEST_CASE("a release that the table does not take is reported") {
+    two_holders<lease_keeper> holders;
+    holders.run(step_period, {&holders.a});
+    holders.table_of_a.down = true;
+    CHECK(holders.a.release().code() == absl::StatusCode::kUnavailable);
+    CHECK_FALSE(holders.a.held());
+}
--- a/tests/support/faulty_table.h
+++ b/tests/support/faulty_table.h
@@ -2,6 +2,7 @@
 
 #include "jujubetide/platform/table.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 #include <vector>
@@ -15,6 +16,8 @@
 
     /// Every call is refused; nothing is applied.
     bool down = false;
+    /// So many further reads of a key fail.
+    int failed_reads = 0;
     /// The replies of so many further commits are lost after they took effect.
     int lost_commit_replies = 0;
     /// So many further commits get no reply and wait until `deliver_late_commits`.
@@ -30,7 +33,8 @@
 
 protected:
     absl::StatusOr<std::optional<table_row>> do_get(const std::string& key) override {
-        if (down) {
+        if (down || failed_reads > 0) {
+            failed_reads = std::max(0, failed_reads - 1);
             return absl::UnavailableError("down");
         }
         return wrapped_.get(key);
