--- a/src/lease/lease_keeper.cc
+++ b/src/lease/lease_keeper.cc
@@ -75,7 +75,7 @@
 }
 
 absl::Status lease_keeper::try_release() {
-    const absl::Status known = read();
+    absl::Status known = read();
     std::optional<lease_write> release;
     {
         const std::lock_guard lock(mutex_);
