Tests: a cut link keeps its port, so that no other process takes it

Cause of what is shown here: a link that refuses connections gave its port of the system's choice back until it was opened again. A process that asked for any free port meanwhile got it, and the test ended with "cannot listen on 127.0.0.1:40301: address already in use".

Change: the link holds its port with a bound socket that never listens, for as long as it lives.

--- a/tests/support/cuttable_link.cc
+++ b/tests/support/cuttable_link.cc
@@ -11,6 +11,34 @@
 
 namespace jujubetide {
 
+/// A bound socket that never listens: while no listener has the port, connections are refused, and
+/// the system gives the port to no other process.
+class cuttable_link::held_port {
+public:
+    held_port() {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* const bound = reinterpret_cast<sockaddr*>(&address);
+        const int enabled = 1;
+        setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+        if (bind(socket_, bound, size) != 0 || getsockname(socket_, bound, &size) != 0) {
+            throw std::runtime_error("cannot hold a port for the link");
+        }
+        number_ = ntohs(address.sin_port);
+    }
+    ~held_port() { ::close(socket_); }
+    held_port(const held_port&) = delete;
+    held_port& operator=(const held_port&) = delete;
+
+    [[nodiscard]] std::uint16_t number() const { return number_; }
+
+private:
+    int socket_ = socket(AF_INET, SOCK_STREAM, 0);
+    std::uint16_t number_ = 0;
+};
+
 /// A listening socket whose full queue drops the first packet of every further connection.
 class cuttable_link::silent_listener {
 public:
@@ -114,7 +142,8 @@
 };
 
 cuttable_link::cuttable_link(event_loop& loop, endpoint server)
-    : loop_(loop), server_(std::move(server)), address_{"127.0.0.1", 0} {
+    : loop_(loop), server_(std::move(server)),
+      port_(std::make_unique<held_port>()), address_{"127.0.0.1", port_->number()} {
     listen();
 }
 
@@ -125,7 +154,6 @@
         ++connections_;
         sessions_.push_back(std::make_unique<session>(*this, std::move(connection)));
     });
-    address_ = acceptor_->address();
 }
 
 void cuttable_link::set_mode(mode to) {
--- a/tests/support/cuttable_link.h
+++ b/tests/support/cuttable_link.h
@@ -33,6 +33,7 @@
     [[nodiscard]] int connections() const { return connections_; }
 
 private:
+    class held_port;
     class session;
     class silent_listener;
 
@@ -40,6 +41,7 @@
 
     event_loop& loop_;
     endpoint server_;
+    std::unique_ptr<held_port> port_;
     endpoint address_;
     mode mode_ = mode::open;
     int connections_ = 0;
