A connection that sends without end does not hold up the node's other connections

What callers saw: while one server sent bytes without end, calls to other, sound servers ended with 503 not_sent or 502 broken.

Cause: libuv reads a connection up to 32 times in a row while its bytes fill the buffer, 2 MiB, before the loop looks at another connection or a timer. With 120 such connections a round lasted longer than the connect timeout.

Change: the loop counts its rounds, and a connection gets the read buffer once a round; libuv then goes on with the next one.

--- a/include/jujubetide/net/event_loop.h
+++ b/include/jujubetide/net/event_loop.h
@@ -3,11 +3,13 @@
 #include "jujubetide/base/memory_budget.h"
 #include "jujubetide/base/timer_service.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <span>
 #include <vector>
 
+struct uv_check_s;
 struct uv_loop_s;
 
 namespace jujubetide {
@@ -32,6 +34,9 @@
     /// The buffer that all sockets of the loop read into; its content is valid until the next read.
     [[nodiscard]] std::span<char> read_buffer() { return read_buffer_; }
 
+    /// Number of times that the loop has looked for events.
+    [[nodiscard]] std::uint64_t rounds() const { return rounds_; }
+
     /// Limits what all connections of the loop buffer together.
     [[nodiscard]] memory_budget& buffers() { return buffers_; }
 
@@ -46,6 +51,8 @@
     /// Outlives the writes that the loop abandons.
     memory_budget buffers_;
     std::unique_ptr<uv_loop_s> loop_;
+    std::unique_ptr<uv_check_s> round_counter_;
+    std::uint64_t rounds_ = 0;
     std::vector<char> read_buffer_;
     std::vector<std::unique_ptr<signal_watcher>> signals_;
 };
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -59,14 +59,23 @@
     std::function<void()> function;
 };
 
-event_loop::event_loop() : loop_(std::make_unique<uv_loop_t>()), read_buffer_(read_buffer_bytes) {
+event_loop::event_loop()
+    : loop_(std::make_unique<uv_loop_t>()), round_counter_(std::make_unique<uv_check_t>()),
+      read_buffer_(read_buffer_bytes) {
     uv_loop_init(loop_.get());
+    uv_check_init(loop_.get(), round_counter_.get());
+    round_counter_->data = this;
+    uv_check_start(round_counter_.get(),
+                   [](uv_check_t* handle) { ++static_cast<event_loop*>(handle->data)->rounds_; });
+    // The counter alone does not keep the loop running.
+    uv_unref(reinterpret_cast<uv_handle_t*>(round_counter_.get()));
 }
 
 event_loop::~event_loop() {
     for (const auto& watcher : signals_) {
         uv_close(reinterpret_cast<uv_handle_t*>(&watcher->handle), nullptr);
     }
+    uv_close(reinterpret_cast<uv_handle_t*>(round_counter_.get()), nullptr);
     // Runs the close callbacks of everything that was destroyed before. Connections that still have
     // unsent bytes are abandoned.
     constexpr int close_rounds = 2;
--- a/src/net/uv_tcp_connection.cc
+++ b/src/net/uv_tcp_connection.cc
@@ -109,9 +109,21 @@
     }
 }
 
+void uv_tcp_connection::on_read_space(uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
+    auto* self = static_cast<uv_tcp_connection*>(handle->data);
+    const std::uint64_t round = self->loop_.rounds();
+    if (std::exchange(self->last_read_round_, round) == round) {
+        // libuv would read the same connection many times while others wait.
+        *buffer = uv_buf_init(nullptr, 0);
+        return;
+    }
+    const auto space = self->loop_.read_buffer();
+    *buffer = uv_buf_init(space.data(), static_cast<unsigned int>(space.size()));
+}
+
 void uv_tcp_connection::on_read(uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer) {
     auto* self = static_cast<uv_tcp_connection*>(stream->data);
-    if (!self->open_ || count == 0) {
+    if (!self->open_ || count == 0 || count == UV_ENOBUFS) {
         return;
     }
     if (count < 0) {
@@ -229,13 +241,7 @@
         uv_read_stop(stream());
         return;
     }
-    uv_read_start(
-        stream(),
-        [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
-            const auto space = static_cast<uv_tcp_connection*>(handle->data)->loop_.read_buffer();
-            *buffer = uv_buf_init(space.data(), static_cast<unsigned int>(space.size()));
-        },
-        on_read);
+    uv_read_start(stream(), on_read_space, on_read);
 }
 
 void uv_tcp_connection::do_close(bool reset) {
--- a/src/net/uv_tcp_connection.h
+++ b/src/net/uv_tcp_connection.h
@@ -3,6 +3,8 @@
 #include "jujubetide/net/event_loop.h"
 #include "jujubetide/net/tcp_connection.h"
 
+#include <cstdint>
+#include <optional>
 #include <uv.h>
 
 namespace jujubetide {
@@ -33,6 +35,8 @@
 
 private:
     static void on_connect(uv_connect_t* request, int status);
+    /// Gives libuv the loop's buffer, once a round for each connection.
+    static void on_read_space(uv_handle_t* handle, std::size_t, uv_buf_t* buffer);
     static void on_read(uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer);
     static void on_written(uv_write_t* request, int status);
     [[nodiscard]] uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&handle_); }
@@ -51,6 +55,8 @@
     connection_events* events_ = nullptr;
     /// Keeps the object alive while the loop uses the handle.
     std::shared_ptr<uv_tcp_connection> self_;
+    /// The loop's round of the last read.
+    std::optional<std::uint64_t> last_read_round_;
     bool open_ = false;
     bool established_ = false;
     bool reading_ = false;
--- a/tests/net/tcp_connection_test.cc
+++ b/tests/net/tcp_connection_test.cc
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <optional>
 #include <thread>
@@ -28,6 +29,29 @@
     void do_end(connection_end reason) override { end = reason; }
 };
 
+/// Counts the bytes received, in all and in one round of the loop.
+class counted_connection final : public connection_events {
+public:
+    explicit counted_connection(const event_loop& loop) : loop_(loop) {}
+    std::size_t bytes = 0;
+    std::size_t most_in_a_round = 0;
+
+protected:
+    void do_connected() override {}
+    void do_data(std::string_view data) override {
+        in_this_round_ = last_round_ == loop_.rounds() ? in_this_round_ + data.size() : data.size();
+        last_round_ = loop_.rounds();
+        bytes += data.size();
+        most_in_a_round = std::max(most_in_a_round, in_this_round_);
+    }
+    void do_end(connection_end) override {}
+
+private:
+    const event_loop& loop_;
+    std::uint64_t last_round_ = 0;
+    std::size_t in_this_round_ = 0;
+};
+
 } // namespace
 
 TEST_CASE("an orderly close by the peer is reported after its last byte") {
@@ -129,3 +153,19 @@
     REQUIRE(run_until(loop, [&] { return fired.size() >= 4; }));
     CHECK(fired.substr(0, 4) == "abcc");
 }
+
+TEST_CASE("a connection with many bytes to read does not hold up the others of its loop") {
+    constexpr std::size_t total = std::size_t{8} << 20U;
+    event_loop loop;
+    blocking_peer peer([](int socket) {
+        send_all(socket, std::string(total, 'a'));
+        ::close(socket);
+    });
+    counted_connection events(loop);
+    const auto connection = tcp_connection::connect(loop, peer.address(), events);
+    REQUIRE(run_until(loop, [&] { return events.bytes > 0; }));
+    // The socket's buffer fills meanwhile.
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    REQUIRE(run_until(loop, [&] { return events.bytes == total; }));
+    CHECK(events.most_in_a_round <= loop.read_buffer().size());
+}
