A node does not run out of memory when the store answers with many small values

What callers would see: one answer of the store, within its 16 MiB, takes the node's memory, and the requests of its callers end with it. Found by reading after the bound of what connections buffer: what is made of the bytes was not counted.

Cause: parsed JSON takes many times the memory of its text: 16 bytes for "0," and about a hundred for "{},".

--- a/src/lease/lease_state.cc
+++ b/src/lease/lease_state.cc
@@ -3,6 +3,8 @@
 // the version and never lengthens the lease.
 #include "jujubetide/lease/lease_state.h"
 
+#include "jujubetide/store/bounded_json.h"
+
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
@@ -163,8 +165,12 @@
 }
 
 absl::StatusOr<lease_record> parse_lease_record(const std::string& text) {
+    const auto parsed = parse_bounded_json(text);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
+    const nlohmann::json& body = *parsed;
     try {
-        const auto body = nlohmann::json::parse(text);
         return lease_record{body.at("holder").get<std::string>(),
                             body.at("write").get<std::string>(),
                             fencing_number(body.at("fencing").get<std::uint64_t>()),
--- a/src/node/duty_lease.cc
+++ b/src/node/duty_lease.cc
@@ -2,6 +2,8 @@
 
 #include "node/node_events.h"
 
+#include "jujubetide/store/bounded_json.h"
+
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
@@ -48,8 +50,9 @@
 
 /// The number in a row; 0 if the row makes no sense, as the lease's row has the number too.
 fencing_number parse_number(const std::string& text) {
-    const json body = json::parse(text, nullptr, false);
-    return body.is_number_unsigned() ? fencing_number(body.get<std::uint64_t>()) : fencing_number();
+    const auto body = parse_bounded_json(text);
+    return body.ok() && body->is_number_unsigned() ? fencing_number(body->get<std::uint64_t>())
+                                                   : fencing_number();
 }
 
 } // namespace
--- a/src/node/peer_exchange.cc
+++ b/src/node/peer_exchange.cc
@@ -4,6 +4,8 @@
 #include "node/node_events.h"
 #include "node/table_readers.h"
 
+#include "jujubetide/store/bounded_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -41,8 +43,12 @@
 }
 
 absl::StatusOr<node_record> parse_record(const stored_row& row) {
+    const absl::StatusOr<json> parsed = parse_bounded_json(row.value);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
+    const json& body = *parsed;
     try {
-        const json body = json::parse(row.value);
         const auto callers = parse_endpoint(body.at("callers").get<std::string>());
         const auto peers = parse_endpoint(body.at("peers").get<std::string>());
         if (!callers.ok() || !peers.ok()) {
--- a/src/node/usage_reporter.cc
+++ b/src/node/usage_reporter.cc
@@ -2,6 +2,8 @@
 
 #include "node/node_events.h"
 
+#include "jujubetide/store/bounded_json.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -30,10 +32,13 @@
 }
 
 absl::StatusOr<usage_counts> decode_counts(const std::string& text) {
+    const absl::StatusOr<json> body = parse_bounded_json(text);
+    if (!body.ok()) {
+        return body.status();
+    }
     try {
         usage_counts counts;
-        const json body = json::parse(text);
-        for (const auto& [customer, count] : body.items()) {
+        for (const auto& [customer, count] : body->items()) {
             counts[customer_id(customer)] = count.get<std::uint64_t>();
         }
         return counts;
--- a/tests/node/memory_bound_test.cc
+++ b/tests/node/memory_bound_test.cc
@@ -1,10 +1,13 @@
 // The memory of the node program while servers, callers or slow readers make it buffer without end.
+#include "node/forward_message.h"
+#include "node/peer_heartbeat.h"
 #include "node_fixture.h"
 #include "node_process.h"
 #include "support/endless_server.h"
 #include "support/row_store_server.h"
 
 #include "jujubetide/net/tcp_connection.h"
+#include "jujubetide/net/udp_socket.h"
 
 #include <catch2/catch.hpp>
 
@@ -70,8 +73,8 @@
                   config_of_test(1, {{"often", {{"timeoutMs", 20'000}, {"maxAttempts", 1}}},
                                      {"once", {{"timeoutMs", 20'000}}},
                                      {"resumed", {{"timeoutMs", 20'000}}}}));
-        store.put("servers", "i-good", registration_of_test("model", good_.address()));
-        node = std::make_unique<node_process>(folder_, 1, store_server_.address(), std::nullopt,
+        store.put("servers", "i-good", registration_of_test("model", sound.address()));
+        node = std::make_unique<node_process>(folder_, 1, store_server.address(), std::nullopt,
                                               memory_mb);
     }
     ~memory_run() {
@@ -87,12 +90,18 @@
     }
     void start() {
         node->start();
+        REQUIRE(is_answered_in_time("/resumed/"));
+    }
+    /// Whether a call is answered whole within some seconds, the calls before it aside.
+    [[nodiscard]] bool is_answered_in_time(const std::string& path) {
         constexpr int max_tries = 200;
-        int tries = 0;
-        while (!is_good_call_answered() && ++tries < max_tries) {
+        for (int tries = 0; tries < max_tries; ++tries) {
+            if (is_answered(path)) {
+                return true;
+            }
             run_for(loop, millis{50});
         }
-        REQUIRE(tries < max_tries);
+        return false;
     }
     std::unique_ptr<running_call> send(const std::string& path) {
         auto made = std::make_unique<running_call>();
@@ -101,10 +110,11 @@
         return made;
     }
     /// A call that needs little memory, to another service.
-    [[nodiscard]] bool is_good_call_answered() {
-        const auto good = send("/resumed/");
-        return run_until(loop, [&] { return good->events.over(); }) && good->events.whole &&
-               good->events.head.status == 200;
+    [[nodiscard]] bool is_good_call_answered() { return is_answered("/resumed/"); }
+    [[nodiscard]] bool is_answered(const std::string& path) {
+        const auto call = send(path);
+        return run_until(loop, [&] { return call->events.over(); }) && call->events.whole &&
+               call->events.head.status == 200;
     }
     void check_memory() {
         CHECK_FALSE(node->take_exit_code());
@@ -119,16 +129,55 @@
     fake_row_store store{loop};
     http1_client client{loop, time};
     std::unique_ptr<node_process> node;
-
-private:
-    int memory_mb_;
-    std::filesystem::path folder_;
-    row_store_server store_server_{loop, time, store};
-    scripted_server good_{loop, time, [](scripted_call& call) {
+    row_store_server store_server{loop, time, store};
+    scripted_server sound{loop, time, [](scripted_call& call) {
                               begin_events(call);
                               call.exchange->write(event_text(1));
                               call.exchange->finish();
                           }};
+
+private:
+    int memory_mb_;
+    std::filesystem::path folder_;
+};
+
+/// A peer that sends heartbeats to the node, and answers whatever it is asked without end.
+class endless_peer {
+public:
+    explicit endless_peer(memory_run& run) : server_(run.loop, answer_head(), "a") {
+        const std::string address = server_.address().str();
+        run.store.put(
+            "jujubetide-nodes", "p1",
+            nlohmann::json{
+                {"start", 1}, {"callers", address}, {"peers", address}, {"failure_domain", "z"}}
+                .dump());
+        beat_.node = node_id("p1");
+        beat_.start = incarnation(1);
+        beat_.is_ready = true;
+        beat_.has_usage_history = true;
+        beat_.config_version = 9;
+        timer_ = run.loop.every(millis{50}, millis{50}, [this, &run] {
+            socket_->send(run.node->peer_endpoint(), encode(beat_));
+        });
+        socket_ = *udp_socket::make(run.loop, {"127.0.0.1", 0}, [](std::string_view) {});
+    }
+    [[nodiscard]] std::size_t connections() const { return server_.connections(); }
+
+private:
+    static std::string answer_head() {
+        header_list headers;
+        add_result(headers, forward_result::answered);
+        std::string head = own_head;
+        for (const auto& [name, value] : headers.fields()) {
+            head += name + ": " + value + "\r\n";
+        }
+        return head + "\r\n";
+    }
+
+    endless_server server_;
+    peer_heartbeat beat_;
+    std::unique_ptr<udp_socket> socket_;
+    std::unique_ptr<timer_subscription> timer_;
 };
 
 /// The head of a request of `length` bytes to a route without repeats.
@@ -138,6 +187,15 @@
            std::to_string(length) + "\r\n\r\n";
 }
 
+std::string repeated(const std::string& text, std::size_t times) {
+    std::string all;
+    all.reserve(text.size() * times);
+    for (std::size_t i = 0; i < times; ++i) {
+        all += text;
+    }
+    return all;
+}
+
 } // namespace
 
 TEST_CASE("a node does not run out of memory when one server answers many calls without end") {
@@ -268,3 +326,51 @@
     // The server's calls, which it never answers, end with their connections.
     run_for(run.loop, millis{300});
 }
+
+TEST_CASE("a node does not run out of memory when the store answers with too much") {
+    const auto [name, body] = GENERATE(table<std::string, std::string>({
+        {"bytes", std::string(std::size_t{40} << 20U, 'a')},
+        {"values", R"({"ver":1,"rows":[)" + repeated("0,", std::size_t{7} << 20U) + "0]}"},
+        {"empty objects", R"({"ver":1,"rows":[)" + repeated("{},", std::size_t{5} << 20U) + "{}]}"},
+    }));
+    INFO(name);
+    memory_run run;
+    run.start();
+    run.store_server.answer_with(body);
+    for (int i = 0; i < 10; ++i) {
+        run_for(run.loop, millis{200});
+        CHECK(run.is_good_call_answered());
+    }
+    run.check_memory();
+    run.store_server.answer_with("");
+    // The node reads the store again.
+    run.store.put("servers", "i-late", registration_of_test("plain", run.sound.address()));
+    CHECK(run.is_answered_in_time("/often/"));
+}
+
+TEST_CASE("a node does not run out of memory when a peer answers without end") {
+    memory_run run;
+    // Nothing listens there: the node sends its calls through the peer.
+    run.add_plain_server({"127.0.0.1", 1});
+    run.start();
+    const endless_peer peer(run);
+    run.sound.crash();
+    for (int i = 0; i < 100 && peer.connections() == 0; ++i) {
+        const auto call = run.send("/often/");
+        run_until(run.loop, [&] { return call->events.over(); });
+        run_for(run.loop, millis{50});
+    }
+    REQUIRE(peer.connections() > 0);
+    std::vector<std::unique_ptr<running_call>> calls(call_count);
+    for (auto& call : calls) {
+        call = run.send("/often/");
+    }
+    CHECK(run_until(run.loop, [&] {
+        return std::all_of(calls.begin(), calls.end(),
+                           [](const auto& one) { return one->events.over(); });
+    }));
+    CHECK(std::all_of(calls.begin(), calls.end(),
+                      [](const auto& one) { return one->events.head.status >= 500; }));
+    CHECK(peer.connections() >= call_count);
+    run.check_memory();
+}
--- a/tests/node/node_process.cc
+++ b/tests/node/node_process.cc
@@ -16,6 +16,7 @@
 
 constexpr std::uint16_t caller_port = 8221;
 constexpr std::uint16_t readiness_port = 8224;
+constexpr std::uint16_t peer_port = 7600;
 
 /// An address of the loopback network that no test process uses at the same time.
 std::string address_of(int index) {
@@ -52,6 +53,10 @@
     return {address_, readiness_port};
 }
 
+endpoint node_process::peer_endpoint() const {
+    return {address_, peer_port};
+}
+
 void node_process::write_settings(const endpoint& store, const std::optional<endpoint>& cloud,
                                   int memory_mb) const {
     const std::string duties = cloud ? "[cloud]\naddress = \"" + cloud->str() +
--- a/tests/node/node_process.h
+++ b/tests/node/node_process.h
@@ -27,6 +27,7 @@
     std::optional<int> take_exit_code();
     [[nodiscard]] endpoint caller_endpoint() const;
     [[nodiscard]] endpoint readiness_endpoint() const;
+    [[nodiscard]] endpoint peer_endpoint() const;
     /// The most memory that the running process has had, in bytes.
     [[nodiscard]] std::size_t peak_memory() const;
 
--- a/tests/support/row_store_server.cc
+++ b/tests/support/row_store_server.cc
@@ -77,6 +77,10 @@
 std::shared_ptr<exchange_events>
 row_store_server::do_request(request_head head, std::string body, time_point,
                              std::shared_ptr<http1_exchange> exchange) {
+    if (!fixed_body_.empty()) {
+        exchange->respond(ok_status, {}, fixed_body_);
+        return nullptr;
+    }
     auto query = query_of(head.target);
     const auto answer = [this, exchange](const absl::StatusOr<row_batch>& batch) {
         respond_with_rows(*exchange, store_.era(), batch);
--- a/tests/support/row_store_server.h
+++ b/tests/support/row_store_server.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace jujubetide {
 
@@ -14,6 +15,9 @@
 public:
     row_store_server(event_loop& loop, const clock& time, fake_row_store& store);
     [[nodiscard]] const endpoint& address() const { return server_->address(); }
+    /// From now on, each call gets this body, with status 200, in place of the store's answer; an
+    /// empty one ends that.
+    void answer_with(std::string body) { fixed_body_ = std::move(body); }
 
 protected:
     std::shared_ptr<exchange_events> do_request(request_head head, std::string body, time_point,
@@ -24,6 +28,7 @@
     void commit(const std::string& body, const std::shared_ptr<http1_exchange>& exchange);
 
     fake_row_store& store_;
+    std::string fixed_body_;
     std::unique_ptr<http1_server> server_;
 };
 
