Every program tells which sources it was built from, and a failed tools/build leaves none

Since the node tells its sources; jujubetide-entry, jujubetide-control and jujubectl did not, and a failed build by tools/build left the programs of the same sources where only something outside the sources had changed.

--- a/include/jujubetide/base/build_identity.h
+++ b/include/jujubetide/base/build_identity.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string>
 #include <string_view>
 
 namespace jujubetide {
@@ -9,5 +10,7 @@
 /// A hash of the sources that the programs were built from; cmake/source_identity.cmake computes
 /// it.
 std::string_view source_identity();
+/// Both, as programs print them for `--version`.
+std::string version_text();
 
 } // namespace jujubetide
--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -9,6 +9,7 @@
 #include "settings/yaml_reader.h"
 
 #include "jujubetide/backend/http_engine_client.h"
+#include "jujubetide/base/build_identity.h"
 #include "jujubetide/edge/periodic_task.h"
 #include "jujubetide/edge/shutdown_signal.h"
 #include "jujubetide/edge/system_random.h"
@@ -119,7 +120,9 @@
                      control_server& server) {
     const table_poller poller(process.parts, process.timers, process.random,
                               settings.settings_poll);
-    process.log.write(control_listening, {{"address", server.address().str()}});
+    process.log.write(control_listening, {{"address", server.address().str()},
+                                          {"version", std::string(program_version())},
+                                          {"sources", std::string(source_identity())}});
     std::cout << "listening " << server.address().str() << std::endl;
 
     wait_for_shutdown_signal();
@@ -168,7 +171,7 @@
     std::string file;
     std::string bootstrap_key;
     try {
-        TCLAP::CmdLine command("Operators' interface and controllers", ' ', "0.1.0");
+        TCLAP::CmdLine command("Operators' interface and controllers", ' ', version_text());
         TCLAP::ValueArg<std::string> settings("", "settings", "The process's YAML file", true, "",
                                               "FILE", command);
         TCLAP::ValueArg<std::string> key(
--- a/src/ctl/ctl_environment.cc
+++ b/src/ctl/ctl_environment.cc
@@ -1,5 +1,7 @@
 #include "ctl/ctl_environment.h"
 
+#include "jujubetide/base/build_identity.h"
+
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <tclap/CmdLine.h>
@@ -18,7 +20,7 @@
 } // namespace
 
 command_line::command_line(const std::string& command, const std::string& summary)
-    : parser_("jujubectl " + command + ": " + summary, ' ', "0.1.0") {
+    : parser_("jujubectl " + command + ": " + summary, ' ', version_text()) {
     parser_.setExceptionHandling(false);
 }
 
--- a/src/ctl/run_ctl.cc
+++ b/src/ctl/run_ctl.cc
@@ -2,6 +2,8 @@
 
 #include "ctl/commands.h"
 
+#include "jujubetide/base/build_identity.h"
+
 #include <tclap/CmdLine.h>
 
 #include <array>
@@ -82,7 +84,7 @@
         return exit_code::ok;
     }
     if (first == "--version") {
-        environment.out << "jujubectl 0.1.0\n";
+        environment.out << "jujubectl " << version_text() << '\n';
         return exit_code::ok;
     }
     const std::string two_words = arguments.size() > 1 ? first + " " + arguments[1] : "";
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -9,6 +9,7 @@
 
 #include "jujubetide/backend/http_engine_client.h"
 #include "jujubetide/backend/http_plain_client.h"
+#include "jujubetide/base/build_identity.h"
 #include "jujubetide/edge/shutdown_signal.h"
 #include "jujubetide/limits/share_admission.h"
 #include "jujubetide/moves/evidence_sender.h"
@@ -126,7 +127,9 @@
         process.evidence.send();
         process.routes.set_active_entries(active_entries(process.boards));
     });
-    process.log.write(entry_listening, {{"address", server.address().str()}});
+    process.log.write(entry_listening, {{"address", server.address().str()},
+                                        {"version", std::string(program_version())},
+                                        {"sources", std::string(source_identity())}});
     std::cout << "listening " << server.address().str() << std::endl;
 
     wait_for_shutdown_signal();
@@ -184,7 +187,7 @@
     block_shutdown_signals();
     std::string file;
     try {
-        TCLAP::CmdLine command("Takes callers' requests", ' ', "0.1.0");
+        TCLAP::CmdLine command("Takes callers' requests", ' ', version_text());
         TCLAP::ValueArg<std::string> settings("", "settings", "The process's YAML file", true, "",
                                               "FILE", command);
         command.parse(argc, argv);
--- a/src/node/serving_metrics.cc
+++ b/src/node/serving_metrics.cc
@@ -1,6 +1,6 @@
 #include "node/serving_metrics.h"
 
-#include "jujubetide/base/build_identity.h"
+#include "jujubetide/edge/build_info.h"
 
 #include <prometheus/text_serializer.h>
 
@@ -48,13 +48,7 @@
                  .Name("jujubetide_node")
                  .Help("The node's state, by field.")
                  .Register(registry_)) {
-    prometheus::BuildGauge()
-        .Name("jujubetide_build_info")
-        .Help("1, with the version and the identity of the sources of the running program.")
-        .Register(registry_)
-        .Add({{"version", std::string(program_version())},
-              {"sources", std::string(source_identity())}})
-        .Set(1.0);
+    add_build_info(registry_);
 }
 
 void serving_metrics::on_call(const service_id& service, std::string_view outcome,
--- a/src/peer/node_metrics.cc
+++ b/src/peer/node_metrics.cc
@@ -1,5 +1,7 @@
 #include "peer/node_metrics.h"
 
+#include "jujubetide/edge/build_info.h"
+
 #include <algorithm>
 #include <string>
 
@@ -82,7 +84,9 @@
                        "Revision of the settings in force at this process.")
                     .Add({})),
       members_(
-          gauges(registry, "jujubetide_members", "Nodes that are not known to be dead.").Add({})) {}
+          gauges(registry, "jujubetide_members", "Nodes that are not known to be dead.").Add({})) {
+    add_build_info(registry);
+}
 
 void node_metrics::update(const blackboard& boards, const std::vector<peer_traffic>& traffic) {
     const std::lock_guard lock(mutex_);
--- a/tests/ctl/ctl_test.cc
+++ b/tests/ctl/ctl_test.cc
@@ -3,6 +3,8 @@
 #include "ctl/run_ctl.h"
 #include "ctl/settings_plan.h"
 
+#include "jujubetide/base/build_identity.h"
+
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -234,6 +236,7 @@
     CHECK(run({"--help"}).code == exit_code::ok);
     CHECK_THAT(run({"--help"}).out, Catch::Contains("Exit codes"));
     CHECK(run({"--version"}).code == exit_code::ok);
+    CHECK_THAT(run({"--version"}).out, Catch::Contains(std::string(source_identity())));
     for (const char* command : {"check", "plan", "apply", "get", "history", "audit", "status"}) {
         CHECK(run({command, "--help"}).code == exit_code::ok);
         CHECK(run({command, "--version"}).code == exit_code::ok);
--- a/tests/entry/entry_server_test.cc
+++ b/tests/entry/entry_server_test.cc
@@ -167,6 +167,7 @@
     const std::string metrics = http_call(entry, "GET", "/metrics", "", {})->body;
     CHECK_THAT(metrics, Catch::Contains("jujubetide_requests_total{outcome=\"whole\""));
     CHECK_THAT(metrics, Catch::Contains("jujubetide_settings_revision 1"));
+    CHECK_THAT(metrics, Catch::Contains("jujubetide_build_info{sources=\""));
     CHECK_THAT(metrics, Catch::Contains("jujubetide_members 3"));
     CHECK_THAT(metrics, Catch::Contains("jujubetide_answer_seconds_count{service=\"chat\"} 1"));
     CHECK_THAT(metrics, Catch::Contains("jujubetide_attempts_total{service=\"chat\","
--- a/tests/tools/source_identity_test.py
+++ b/tests/tools/source_identity_test.py
@@ -99,6 +99,19 @@
         self.assertNotEqual(self.build().returncode, 0)
         self.assertFalse(self.program.exists())
 
+    def test_failed_build_of_the_tools_leaves_no_program(self):
+        (self.checkout / "tools").mkdir()
+        shutil.copy(ROOT / "tools/build", self.checkout / "tools")
+        self.write("platform/main.cc", '#include "../installed.h"\n' + MAIN)
+        self.write("installed.h", "")
+        program = self.checkout / "build/bin/jujubetide-node"
+        command = [str(self.checkout / "tools/build"), "build"]
+        subprocess.run(command, capture_output=True, check=True)
+        self.assertTrue(program.exists())
+        self.write("installed.h", "no C++\n")
+        self.assertNotEqual(subprocess.run(command, capture_output=True, check=False).returncode, 0)
+        self.assertFalse(program.exists())
+
 
 if __name__ == "__main__":
     unittest.main()
