Entry and control bound what all their calls buffer, not only each call

What callers would see: an engine that answers the poll of its load without end takes the memory of the entry or of the control process, and the requests of all callers end with it.

Cause: the HTTP library keeps a whole answer, whatever its length; a plain service's answer and a caller's body had a limit of their own (16 MiB, 64 MiB) and no sum over up to 4,096 threads.

Change: shared_memory_budget is the node's memory_budget for threads: half of the new setting memory_mb (default 1,024). Answers are read through buffered_answer, which is held to a limit of its own and to the budget, and refuses a stated length that is too large before the body; callers' bodies are counted by their length, with the copies that a call makes, and refused with 503 node_memory and Retry-After before they are read. Large buffers go back to the system when they are freed, in every program now. Three metrics show the use.

Open: the head of a message, whose lines the library bounds, but not their number; the parsed JSON of an answer.

--- a/include/jujubetide/backend/plain_client.h
+++ b/include/jujubetide/backend/plain_client.h
@@ -5,6 +5,7 @@
 #include "jujubetide/base/units.h"
 
 #include <cstddef>
+#include <memory>
 #include <string>
 
 namespace jujubetide {
@@ -41,6 +42,8 @@
     std::string content_type;
     std::string body;
     std::string error;
+    /// Accounts for the body's memory for as long as the result is kept.
+    std::shared_ptr<const void> memory;
 };
 
 /// The calls to plain services. Thread-safe; calls block.
--- a/include/jujubetide/http/http_server.h
+++ b/include/jujubetide/http/http_server.h
@@ -30,10 +30,15 @@
     std::function<void(const std::string& method, int status, micros latency)> on_answer;
 };
 
+/// Keeps `memory`, which accounts for an answer's body, until the request that this thread answers
+/// has been answered.
+void keep_until_answered(std::shared_ptr<const void> memory);
+
 /// An HTTP server on its own threads. What it refuses itself, such as a malformed request (400), a
 /// slow one (408), an unknown path (404) or a body that is too large (413), is answered by a
 /// problem. A body that states more than twice the limit or nothing (411), or that is compressed
-/// (415), is refused before it is read, and the connection closed.
+/// (415), or that the process has no memory for (503), is refused before it is read, and the
+/// connection closed.
 class http_server {
 public:
     /// Binds the address and lets `add_routes` register the handlers, then begins to answer.
--- a/include/jujubetide/peer/node_process.h
+++ b/include/jujubetide/peer/node_process.h
@@ -18,7 +18,7 @@
 /// What every node's process has, in the order in which the parts depend on each other.
 struct node_process {
     /// `program` names the process in its log.
-    explicit node_process(const std::string& program);
+    node_process(const std::string& program, const process_settings& settings);
 
     /// This process's membership; what is passed in must outlive it, as must this. Errors as for
     /// `peer_node::make`.
--- a/include/jujubetide/settings/process_settings.h
+++ b/include/jujubetide/settings/process_settings.h
@@ -29,6 +29,8 @@
     std::vector<endpoint> seeds;
     /// Threads for HTTP; each running request holds one.
     std::size_t http_threads = 256;
+    /// Memory of the process; bodies that it buffers may take half of it.
+    std::size_t memory_mb = 1'024;
     /// How long a stopping process waits for its running requests.
     millis drain_timeout{20'000};
     /// How long callers may keep the answer of `GET /v1/entries`.
--- a/src/backend/http_engine_client.cc
+++ b/src/backend/http_engine_client.cc
@@ -12,6 +12,8 @@
 namespace jujubetide {
 namespace {
 
+/// The longest report of an engine's state that is read.
+constexpr std::size_t max_report_bytes = std::size_t{16} << 20U;
 /// How long the connection of an attempt outlives the caller's deadline, so that the receiver and
 /// not the connection decides about the deadline.
 constexpr millis read_margin{1'000};
@@ -75,7 +77,7 @@
 template <class Read>
 auto get_json(const endpoint& engine, const std::string& target, const http_timeouts& timeouts,
               Read read) -> absl::StatusOr<decltype(read(nlohmann::json()))> {
-    const auto answer = http_call(engine, "GET", target, "", timeouts);
+    const auto answer = http_call(engine, "GET", target, "", timeouts, {}, max_report_bytes);
     if (!answer.ok()) {
         return answer.status();
     }
--- a/src/backend/http_plain_client.cc
+++ b/src/backend/http_plain_client.cc
@@ -7,6 +7,7 @@
 #include "backend/stream_watch.h"
 
 #include "jujubetide/edge/boot_clock.h"
+#include "jujubetide/http/buffered_answer.h"
 #include "jujubetide/http/refusal.h"
 
 #include <absl/strings/str_cat.h>
@@ -40,14 +41,13 @@
 class limited_body final : public http_stream_receiver {
 public:
     explicit limited_body(const plain_request& request)
-        : request_(request), end_(time_.now() + request.time_left) {}
+        : request_(request), end_(time_.now() + request.time_left),
+          answer_(request.max_answer_bytes, memory_use::traffic) {}
 
     /// The call's result, once `stream` has ended with `ended`.
     plain_result result(const absl::Status& ended, const http_stream& stream) {
-        if (too_large_) {
-            plain_result cut = make_failure(
-                plain_outcome::unknown,
-                absl::StrCat("the answer has more than ", request_.max_answer_bytes, " bytes"));
+        if (!answer_.error().empty()) {
+            plain_result cut = make_failure(plain_outcome::unknown, answer_.error());
             cut.answer_too_large = true;
             return cut;
         }
@@ -61,19 +61,19 @@
                                           : std::string(ended.message()));
         }
         plain_result whole;
-        whole.outcome =
-            read_refusal(stream.status(), body_) ? plain_outcome::not_run : plain_outcome::answered;
+        whole.outcome = read_refusal(stream.status(), answer_.body()) ? plain_outcome::not_run
+                                                                      : plain_outcome::answered;
         whole.status = stream.status();
         whole.content_type = stream.content_type();
-        whole.body = std::move(body_);
+        whole.body = answer_.take_body();
+        whole.memory = answer_.memory();
         return whole;
     }
 
 protected:
+    bool do_on_head(const httplib::Response& head) override { return answer_.begin(head); }
     bool do_on_bytes(int /*status*/, std::string_view bytes) override {
-        body_ += bytes;
-        too_large_ = body_.size() > request_.max_answer_bytes;
-        return !too_large_ && !is_late();
+        return answer_.append(bytes) && !is_late();
     }
     bool do_on_tick() override { return !is_late(); }
 
@@ -83,8 +83,7 @@
     const plain_request& request_;
     boot_clock time_;
     time_point end_;
-    std::string body_;
-    bool too_large_ = false;
+    buffered_answer answer_;
 };
 
 } // namespace
--- a/src/backend/http_stream.cc
+++ b/src/backend/http_stream.cc
@@ -24,6 +24,7 @@
         const std::lock_guard lock(mutex_);
         status_ = response.status;
         content_type_ = response.get_header_value("Content-Type");
+        stopping_ = stopping_ || !receiver_.on_head(response);
         return !stopping_;
     };
     request.content_receiver = [this](const char* data, std::size_t size, std::uint64_t,
--- a/src/backend/http_stream.h
+++ b/src/backend/http_stream.h
@@ -9,6 +9,10 @@
 #include <string>
 #include <string_view>
 
+namespace httplib {
+struct Response; // NOLINT(readability-identifier-naming)
+} // namespace httplib
+
 namespace jujubetide {
 
 class closable_connection;
@@ -17,6 +21,8 @@
 class http_stream_receiver {
 public:
     virtual ~http_stream_receiver() = default;
+    /// The head of the answer, on the thread that reads. Returns whether to go on.
+    bool on_head(const httplib::Response& head) { return do_on_head(head); }
     /// Bytes of the body, on the thread that reads. Returns whether to go on.
     bool on_bytes(int status, std::string_view bytes) { return do_on_bytes(status, bytes); }
     /// Asked now and then, on another thread. Returns whether to go on.
@@ -26,6 +32,7 @@
     http_stream_receiver() = default;
     http_stream_receiver(const http_stream_receiver&) = default;
     http_stream_receiver& operator=(const http_stream_receiver&) = default;
+    virtual bool do_on_head(const httplib::Response& /*head*/) { return true; }
     virtual bool do_on_bytes(int status, std::string_view bytes) = 0;
     virtual bool do_on_tick() = 0;
 };
--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -10,6 +10,7 @@
 
 #include "jujubetide/backend/http_engine_client.h"
 #include "jujubetide/base/build_identity.h"
+#include "jujubetide/edge/large_buffers.h"
 #include "jujubetide/edge/periodic_task.h"
 #include "jujubetide/edge/shutdown_signal.h"
 #include "jujubetide/edge/system_random.h"
@@ -42,7 +43,7 @@
 /// What the process's parts share, in the order in which they depend on each other.
 struct control_process : node_process {
     control_process(const process_settings& settings, peer_link& link)
-        : node_process("jujubetide-control"), platform_table(settings.platform),
+        : node_process("jujubetide-control", settings), platform_table(settings.platform),
           traffic(boards.members, link),
           bootstrap_key_sha256(settings.bootstrap_operator_key_sha256) {}
 
@@ -168,6 +169,9 @@
 
 int main(int argc, char** argv) {
     block_shutdown_signals();
+    if (!return_large_buffers()) {
+        std::cerr << "cannot set the allocator's threshold\n";
+    }
     std::string file;
     std::string bootstrap_key;
     try {
--- /dev/null
+++ b/src/edge/shared_memory_share.cc
@@ -0,0 +1,18 @@
+#include "jujubetide/edge/shared_memory_share.h"
+
+namespace jujubetide {
+
+shared_memory_share::shared_memory_share(memory_use use, shared_memory_budget& budget)
+    : budget_(budget), share_(budget.budget_, use) {}
+
+shared_memory_share::~shared_memory_share() {
+    const std::lock_guard lock(budget_.mutex_);
+    share_.force(0);
+}
+
+bool shared_memory_share::resize(std::size_t bytes) {
+    const std::lock_guard lock(budget_.mutex_);
+    return share_.resize(bytes);
+}
+
+} // namespace jujubetide
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -10,6 +10,7 @@
 #include "jujubetide/backend/http_engine_client.h"
 #include "jujubetide/backend/http_plain_client.h"
 #include "jujubetide/base/build_identity.h"
+#include "jujubetide/edge/large_buffers.h"
 #include "jujubetide/edge/shutdown_signal.h"
 #include "jujubetide/limits/share_admission.h"
 #include "jujubetide/moves/evidence_sender.h"
@@ -90,7 +91,7 @@
 /// What the node's parts share, in the order in which they depend on each other.
 struct entry_process : node_process {
     entry_process(const process_settings& settings, peer_link& link)
-        : node_process("jujubetide-entry"), platform_table(settings.platform),
+        : node_process("jujubetide-entry", settings), platform_table(settings.platform),
           versions(owner_of(settings, time), {boards, time, facts}), peers(link) {}
 
     http_table platform_table;
@@ -185,6 +186,9 @@
 
 int main(int argc, char** argv) {
     block_shutdown_signals();
+    if (!return_large_buffers()) {
+        std::cerr << "cannot set the allocator's threshold\n";
+    }
     std::string file;
     try {
         TCLAP::CmdLine command("Takes callers' requests", ' ', version_text());
--- a/src/entry/plain_handler.cc
+++ b/src/entry/plain_handler.cc
@@ -5,6 +5,7 @@
 #include "entry/refusals.h"
 
 #include "jujubetide/base/rendezvous_hash.h"
+#include "jujubetide/http/http_server.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -204,7 +205,7 @@
         if (step.kind != plain_step_kind::send) {
             break;
         }
-        const plain_result result = send_attempt(call, query, *choice, step.attempt);
+        plain_result result = send_attempt(call, query, *choice, step.attempt);
         if (result.answer_too_large) {
             // Another server's answer would be no shorter.
             return unknown_problem("answer_too_large",
@@ -212,7 +213,8 @@
         }
         step = machine.on_result(result.outcome, parts_.time.now());
         if (step.kind == plain_step_kind::answer) {
-            return stored_answer{result.status, result.content_type, result.body};
+            keep_until_answered(result.memory);
+            return stored_answer{result.status, result.content_type, std::move(result.body)};
         }
     }
     return refusal_of(refuse_request{step.cause, step.may_have_run, step.retry_after});
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -2,6 +2,8 @@
 
 #include "http/http_request.h"
 
+#include "jujubetide/http/buffered_answer.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <utility>
@@ -47,13 +49,28 @@
 absl::StatusOr<http_answer> http_call(const endpoint& server, const std::string& method,
                                       const std::string& target, const std::string& body,
                                       const http_timeouts& timeouts,
-                                      const std::map<std::string, std::string>& headers) {
+                                      const std::map<std::string, std::string>& headers,
+                                      std::size_t max_answer_bytes) {
     const std::unique_ptr<httplib::Client> client = make_http_client(server, timeouts);
-    const httplib::Result result = client->send(make_request(method, target, body, headers));
+    httplib::Request request = make_request(method, target, body, headers);
+    buffered_answer read(max_answer_bytes, memory_use::control);
+    request.response_handler = [&read](const httplib::Response& head) { return read.begin(head); };
+    request.content_receiver = [&read](const char* data, std::size_t size, std::uint64_t,
+                                       std::uint64_t) {
+        return read.append({data, size});
+    };
+    const httplib::Result result = client->send(request);
+    if (!read.error().empty()) {
+        return absl::DeadlineExceededError(read.error());
+    }
     if (!result) {
         return to_status(result.error());
     }
-    http_answer answer{result->status, result->get_header_value("Content-Type"), result->body, {}};
+    http_answer answer{result->status,
+                       result->get_header_value("Content-Type"),
+                       read.take_body(),
+                       {},
+                       read.memory()};
     for (const auto& [name, value] : result->headers) {
         answer.headers.emplace(name, value);
     }
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,5 +1,6 @@
 #include "jujubetide/http/http_server.h"
 
+#include "jujubetide/edge/shared_memory_share.h"
 #include "jujubetide/http/problem.h"
 
 #include <absl/strings/numbers.h>
@@ -10,6 +11,8 @@
 #include <optional>
 #include <sys/socket.h>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace jujubetide {
 namespace {
@@ -21,12 +24,21 @@
 /// its sender reads the refusal on a sound connection.
 constexpr std::size_t skipped_body_factor = 2;
 
+/// Copies of a request's body that a handler and the call that it makes keep at the same time.
+constexpr std::size_t body_copies = 4;
+
+/// When callers whose request there is no memory for may return.
+constexpr millis memory_retry{500};
+
 using steady = std::chrono::steady_clock;
 
 /// When the head of the request that this thread answers had come. The library tells it to no
 /// handler, and answers each request on one thread.
 thread_local std::optional<steady::time_point> head_read;
 
+/// Accounts for the memory of the request that this thread answers.
+thread_local std::vector<std::shared_ptr<const void>> kept_memory;
+
 micros since_head() {
     return head_read ? std::chrono::duration_cast<micros>(steady::now() - *head_read) : micros{0};
 }
@@ -80,10 +92,19 @@
         return make_error(415, "encoded_body", "the body may not be compressed");
     }
     std::uint64_t length = 0;
-    if (absl::SimpleAtoi(request.get_header_value("Content-Length"), &length) &&
-        length / skipped_body_factor > most) {
+    if (!absl::SimpleAtoi(request.get_header_value("Content-Length"), &length)) {
+        return std::nullopt;
+    }
+    if (length / skipped_body_factor > most) {
         return too_large();
     }
+    auto memory = std::make_shared<shared_memory_share>(memory_use::traffic);
+    if (length <= most && !memory->resize(body_copies * length)) {
+        problem error = make_error(503, "node_memory", "no memory for the body now");
+        error.retry_after = memory_retry;
+        return error;
+    }
+    keep_until_answered(std::move(memory));
     return std::nullopt;
 }
 
@@ -111,6 +132,7 @@
     server.set_pre_routing_handler([most = options.max_body_bytes](const httplib::Request& request,
                                                                    httplib::Response& response) {
         head_read = steady::now();
+        kept_memory.clear();
         if (const auto error = check_body(request, most)) {
             refuse_body(response, *error);
             return httplib::Server::HandlerResponse::Handled;
@@ -123,11 +145,16 @@
             told(request.method, response.status, since_head());
         }
         head_read.reset();
+        kept_memory.clear();
     });
 }
 
 } // namespace
 
+void keep_until_answered(std::shared_ptr<const void> memory) {
+    kept_memory.push_back(std::move(memory));
+}
+
 struct http_server::implementation {
     httplib::Server server;
     endpoint address;
--- a/src/peer/node_metrics.cc
+++ b/src/peer/node_metrics.cc
@@ -1,6 +1,7 @@
 #include "peer/node_metrics.h"
 
 #include "jujubetide/edge/build_info.h"
+#include "jujubetide/edge/shared_memory_budget.h"
 
 #include <algorithm>
 #include <string>
@@ -84,7 +85,16 @@
                        "Revision of the settings in force at this process.")
                     .Add({})),
       members_(
-          gauges(registry, "jujubetide_members", "Nodes that are not known to be dead.").Add({})) {
+          gauges(registry, "jujubetide_members", "Nodes that are not known to be dead.").Add({})),
+      buffered_bytes_(gauges(registry, "jujubetide_buffered_bytes",
+                             "Bytes of requests and answers that the process buffers.")
+                          .Add({})),
+      buffer_limit_(gauges(registry, "jujubetide_buffer_limit_bytes",
+                           "Most bytes that the process may buffer.")
+                        .Add({})),
+      buffer_refusals_(gauges(registry, "jujubetide_buffer_refusals",
+                              "Requests and answers that there was no memory for.")
+                           .Add({})) {
     add_build_info(registry);
 }
 
@@ -97,6 +107,10 @@
         static_cast<double>(std::count_if(members.begin(), members.end(), [](const member& one) {
             return one.health != member_health::dead;
         })));
+    const shared_memory_budget& buffers = shared_memory_budget::of_process();
+    buffered_bytes_.Set(static_cast<double>(buffers.used()));
+    buffer_limit_.Set(static_cast<double>(buffers.limit()));
+    buffer_refusals_.Set(static_cast<double>(buffers.refusals()));
     update_shares(boards);
     update_traffic(traffic);
 }
--- a/src/peer/node_metrics.h
+++ b/src/peer/node_metrics.h
@@ -36,6 +36,9 @@
     prometheus::Family<prometheus::Gauge>& shares_;
     prometheus::Gauge& revision_;
     prometheus::Gauge& members_;
+    prometheus::Gauge& buffered_bytes_;
+    prometheus::Gauge& buffer_limit_;
+    prometheus::Gauge& buffer_refusals_;
     /// What `shares_` shows.
     std::map<std::pair<service_id, version_id>, prometheus::Gauge*> shown_shares_;
 };
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -12,6 +12,8 @@
 
 constexpr std::int64_t least_threads = 4;
 constexpr std::int64_t most_threads = 4096;
+constexpr std::int64_t least_memory_mb = 64;
+constexpr std::int64_t most_memory_mb = 1 << 20;
 constexpr millis most_drain{600'000};
 constexpr millis least_lifetime{100};
 constexpr millis most_lifetime{3'600'000};
@@ -30,6 +32,7 @@
     reader.address("platform", settings.platform, 1, presence::required);
     reader.addresses("seeds", settings.seeds);
     reader.whole("http_threads", settings.http_threads, least_threads, most_threads);
+    reader.whole("memory_mb", settings.memory_mb, least_memory_mb, most_memory_mb);
     reader.duration("drain_timeout_ms", settings.drain_timeout, millis{0}, most_drain);
     reader.duration("entries_lifetime_ms", settings.entries_lifetime, least_lifetime,
                     most_lifetime);
--- a/tests/system/system_fixture.cc
+++ b/tests/system/system_fixture.cc
@@ -73,7 +73,8 @@
 
 } // namespace
 
-system_fixture::system_fixture(int engine_count, int entry_count) {
+system_fixture::system_fixture(int engine_count, int entry_count, int memory_mb)
+    : memory_mb_(memory_mb) {
     std::string pattern =
         (std::filesystem::temp_directory_path() / "jujubetide-system-XXXXXX").string();
     folder_ = ::mkdtemp(pattern.data());
@@ -158,7 +159,7 @@
     text << "node: " << role << "-" << index << "\nhost: " << role << "-host-" << index
          << "\nfailure_domain: d" << index
          << "\nregion: r\nlisten: 127.0.0.1:0\npeer_listen: " << peer_address.str()
-         << "\nplatform: " << platform->listening()
+         << "\nplatform: " << platform->listening() << "\nmemory_mb: " << memory_mb_
          << "\nhttp_threads: 96\ndrain_timeout_ms: 8000\nsettings_poll_ms: "
             "1000\nentries_lifetime_ms: 1000\nseeds: [";
     for (std::size_t i = 0; i < peer_addresses_.size(); ++i) {
--- a/tests/system/system_fixture.h
+++ b/tests/system/system_fixture.h
@@ -20,7 +20,7 @@
     static constexpr const char* key = "customer-key";
 
     /// Starts everything and waits until each entry is ready.
-    system_fixture(int engine_count, int entry_count);
+    system_fixture(int engine_count, int entry_count, int memory_mb = 1'024);
     ~system_fixture();
     system_fixture(const system_fixture&) = delete;
     system_fixture& operator=(const system_fixture&) = delete;
@@ -57,6 +57,7 @@
     void start_process(std::unique_ptr<child_process>& process, const std::string& role,
                        std::size_t index, const endpoint& peer_address) const;
 
+    int memory_mb_;
     std::string folder_;
     std::vector<endpoint> engine_addresses_;
     std::vector<endpoint> plain_addresses_;
