--- a/tests/system/entry_memory_test.cc
+++ b/tests/system/entry_memory_test.cc
@@ -1,4 +1,5 @@
 // The memory of the entry program while engines, services or callers make it buffer without end.
+#include "support/blocking_peer.h"
 #include "support/endless_server.h"
 #include "support/eventually.h"
 #include "support/raw_call.h"
@@ -13,6 +14,7 @@
 #include <atomic>
 #include <fstream>
 #include <thread>
+#include <unistd.h>
 
 using namespace jujubetide;
 
@@ -155,7 +157,25 @@
     }
     CHECK(refused > 0);
     check_memory(system);
-    const auto booked = system.caller().call("POST", "/s/berth/book", R"({"booking": "b1"})");
+    // What these took is free again.
+    const std::string large = R"({"booking": "b1", "note": ")" + std::string(900'000, 'n') + "\"}";
+    const auto booked = system.caller().call("POST", "/s/berth/book", large);
     REQUIRE(booked.ok());
     CHECK(booked->status == 200);
 }
+
+TEST_CASE("an entry has the memory again of callers that leave amid their bodies") {
+    constexpr int calls = 60;
+    const system_fixture system(0, 1, memory_mb);
+    for (int i = 0; i < calls; ++i) {
+        const int socket = testing::connect_to(system.entry(0));
+        testing::send_all(socket, "POST /s/berth/book HTTP/1.1\r\nHost: h\r\nContent-Length: "
+                                  "6000000\r\n\r\n{");
+        ::close(socket);
+    }
+    const std::string large = R"({"booking": "b1", "note": ")" + std::string(900'000, 'n') + "\"}";
+    CHECK(eventually([&] {
+        const auto booked = system.caller().call("POST", "/s/berth/book", large);
+        return booked.ok() && booked->status == 200;
+    }));
+}
