A shared memory share is destroyed under the budget's lock

What was seen: thread build, jujubetide-entry ends with a data race of memory_share::force, in each test with real entries (4 of 4 tried).

Cause: the member was destroyed after the destructor's lock had ended, and gave its bytes back once more without it.

--- a/include/jujubetide/edge/shared_memory_share.h
+++ b/include/jujubetide/edge/shared_memory_share.h
@@ -3,6 +3,9 @@
 #include "jujubetide/base/memory_share.h"
 #include "jujubetide/edge/shared_memory_budget.h"
 
+#include <cstddef>
+#include <optional>
+
 namespace jujubetide {
 
 /// The bytes that one buffer holds of a shared budget; given back with the object. To be used by
@@ -20,7 +23,8 @@
 
 private:
     shared_memory_budget& budget_;
-    memory_share share_;
+    /// Created and destroyed under the budget's lock.
+    std::optional<memory_share> share_;
 };
 
 } // namespace jujubetide
