Tests: a HEAD call is not refused for the length of a body that does not come

It passes as it stands: the HTTP library tells the head of an answer only where a body follows. The function of the HTTP server that accounts for a body's memory is named after that.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -82,9 +82,9 @@
     }
 }
 
-/// Why a body may not be read. The library holds neither a body of unstated length nor a
-/// compressed one, once it is unpacked, to the limit.
-std::optional<problem> check_body(const httplib::Request& request, std::size_t most) {
+/// Why a body may not be read; accounts for the memory of one that may. The library holds neither a
+/// body of unstated length nor a compressed one, once it is unpacked, to the limit.
+std::optional<problem> admit_body(const httplib::Request& request, std::size_t most) {
     if (request.has_header("Transfer-Encoding")) {
         return make_error(411, "length_required", "the body needs a Content-Length");
     }
@@ -133,7 +133,7 @@
                                                                    httplib::Response& response) {
         head_read = steady::now();
         kept_memory.clear();
-        if (const auto error = check_body(request, most)) {
+        if (const auto error = admit_body(request, most)) {
             refuse_body(response, *error);
             return httplib::Server::HandlerResponse::Handled;
         }
--- a/tests/backend/http_plain_client_test.cc
+++ b/tests/backend/http_plain_client_test.cc
@@ -71,6 +71,9 @@
         routes.Post("/large", [](const httplib::Request&, httplib::Response& response) {
             response.set_content(std::string(100'000, 'x'), "text/plain");
         });
+        routes.Get("/large", [](const httplib::Request&, httplib::Response& response) {
+            response.set_content(std::string(100'000, 'x'), "text/plain");
+        });
         // A piece comes before each wait for bytes would end, and the answer never ends.
         routes.Post("/endless", [](const httplib::Request&, httplib::Response& response) {
             response.set_chunked_content_provider(
@@ -95,6 +98,10 @@
     CHECK(cut.outcome == plain_outcome::unknown);
     CHECK(cut.answer_too_large);
     CHECK(cut.body.empty());
+    // The length in an answer to HEAD is not that of a body.
+    request.method = "HEAD";
+    CHECK(client.call((*server)->address(), request).outcome == plain_outcome::answered);
+    request.method = "POST";
 
     request.target = "/endless";
     request.time_left = millis{300};
