--- a/tests/node/memory_bound_test.cc
+++ b/tests/node/memory_bound_test.cc
@@ -169,7 +169,7 @@
         add_result(headers, forward_result::answered);
         std::string head = own_head;
         for (const auto& [name, value] : headers.fields()) {
-            head += name + ": " + value + "\r\n";
+            head.append(name).append(": ").append(value).append("\r\n");
         }
         return head + "\r\n";
     }
