Tests of the entry's memory: the endless server uses no event loop beside the test's thread

Seen: thread build,, whole run beside the address build, 633 passed, 1 failed: "an entry does not run out of memory when an engine reports its load without end", a data race of closedir in the test's main thread and epoll_ctl in its server's loop.

Cause: a false one. libuv is not built with the sanitizer, which so does not see that the loop closed a descriptor before the other thread got the same number.

Change: the server sends with blocking sockets, whose calls the sanitizer sees. All checks are the same.

--- a/tests/system/entry_memory_test.cc
+++ b/tests/system/entry_memory_test.cc
@@ -1,6 +1,5 @@
 // The memory of the entry program while engines, services or callers make it buffer without end.
 #include "support/blocking_peer.h"
-#include "support/endless_server.h"
 #include "support/eventually.h"
 #include "support/raw_call.h"
 #include "system_fixture.h"
@@ -11,54 +10,88 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include <arpa/inet.h>
 #include <atomic>
+#include <cerrno>
+#include <chrono>
 #include <fstream>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/time.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 using namespace jujubetide;
 
 namespace {
 
 constexpr int memory_mb = 200;
-const std::string plain_head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
 
-/// A server without end on an event loop and a thread of its own.
-class endless_process {
+/// A server that answers on each connection without end, on threads of its own.
+class endless_answers {
 public:
-    explicit endless_process(const std::string& head) {
-        std::atomic<bool> is_ready{false};
-        thread_ = std::thread([this, head, &is_ready] {
-            event_loop loop;
-            endless_server server(loop, head, "a");
-            address_ = server.address();
-            is_ready = true;
-            const auto looking = loop.every(millis{10}, millis{10}, [&] {
-                connections_ = server.connections();
-                if (is_over_) {
-                    loop.stop();
-                }
-            });
-            loop.run();
-        });
-        while (!is_ready) {
-            std::this_thread::yield();
-        }
+    endless_answers() : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+        constexpr int backlog = 256;
+        sockaddr_in address{AF_INET, 0, {htonl(INADDR_LOOPBACK)}, {}};
+        socklen_t length = sizeof address;
+        auto* const general = reinterpret_cast<sockaddr*>(&address);
+        REQUIRE(::bind(listener_, general, length) == 0);
+        REQUIRE(::listen(listener_, backlog) == 0);
+        REQUIRE(::getsockname(listener_, general, &length) == 0);
+        address_ = {"127.0.0.1", ntohs(address.sin_port)};
+        accepting_ = std::thread([this] { accept_all(); });
     }
-    ~endless_process() {
+    ~endless_answers() {
         is_over_ = true;
-        thread_.join();
+        accepting_.join();
+        for (std::thread& one : answering_) {
+            one.join();
+        }
+        ::close(listener_);
     }
-    endless_process(const endless_process&) = delete;
-    endless_process& operator=(const endless_process&) = delete;
+    endless_answers(const endless_answers&) = delete;
+    endless_answers& operator=(const endless_answers&) = delete;
     [[nodiscard]] const endpoint& address() const { return address_; }
     [[nodiscard]] std::size_t connections() const { return connections_; }
 
 private:
+    void accept_all() {
+        constexpr int poll_ms = 10;
+        pollfd incoming{listener_, POLLIN, 0};
+        while (!is_over_) {
+            if (::poll(&incoming, 1, poll_ms) == 1) {
+                const int socket = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+                ++connections_;
+                answering_.emplace_back([this, socket] { answer(socket); });
+            }
+        }
+    }
+    void answer(int socket) const {
+        const timeval limit{0, 100'000};
+        ::setsockopt(socket, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+        std::string bytes = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+        bool is_open = true;
+        while (is_open && !is_over_) {
+            const ssize_t sent = ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            is_open = sent >= 0 || errno == EAGAIN;
+            if (sent == static_cast<ssize_t>(bytes.size())) {
+                bytes.assign(32'768, 'a');
+            } else if (sent > 0) {
+                bytes.erase(0, static_cast<std::size_t>(sent));
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        ::close(socket);
+    }
+
+    int listener_;
     endpoint address_;
     std::atomic<std::size_t> connections_{0};
     std::atomic<bool> is_over_{false};
-    std::thread thread_;
+    std::vector<std::thread> answering_;
+    std::thread accepting_;
 };
 
 /// Adds a server to the settings that the fixture wrote.
@@ -97,7 +130,7 @@
 } // namespace
 
 TEST_CASE("an entry does not run out of memory when an engine reports its load without end") {
-    const endless_process engine(plain_head);
+    const endless_answers engine;
     const system_fixture system(1, 1, memory_mb);
     add_server(system, "chat", engine.address());
     // Several polls have been read as far as the entry wants to.
@@ -108,7 +141,7 @@
 
 TEST_CASE("an entry does not run out of memory when a service answers many calls without end") {
     constexpr int calls = 60;
-    const endless_process service(plain_head);
+    const endless_answers service;
     const system_fixture system(0, 1, memory_mb);
     for (const auto& sound : system.plain) {
         sound->signal(SIGKILL); // So that calls go to the endless server.
