Log which connection an attempt used and which answers were skipped

Cause: not shown yet. The logs could not tell a server that refuses from one that writes an earlier refusal again: no line told whether two attempts of a call went to one address over one connection, and an answer to another attempt was skipped without a line. Change: attempt_over names the address, the connection's number, the calls it had carried and the answers skipped before its own; foreign_answer_skipped (JT7071) names the other attempt and whether its answer was a refusal; jujubetide_skipped_answers_total counts them. http1_call tells the connection it uses. No decision is changed. Tests: two cases of repeated_refusals_test (one new); node_test '*refusal*' 5 of 5 and http1_test 30 of 30 pass.

--- a/include/jujubetide/http1/http1_client.h
+++ b/include/jujubetide/http1/http1_client.h
@@ -58,6 +58,14 @@
     micros max_idle{std::chrono::seconds(4)};
 };
 
+/// Tells the connections that a client has opened apart, and the calls on one.
+struct connection_use {
+    /// Number of the connection among those that the client has opened, from 1.
+    std::uint64_t connection = 0;
+    /// Calls that the connection carried before.
+    std::uint64_t earlier_calls = 0;
+};
+
 /// A running call. Destroying it cancels the call and closes its connection.
 class http1_call {
 public:
@@ -69,14 +77,13 @@
     /// Pauses and resumes reading the response when its receiver cannot keep up.
     void pause() { do_set_reading(false); }
     void resume() { do_set_reading(true); }
-    /// Whether the connection has carried an earlier call.
-    [[nodiscard]] bool is_on_used_connection() const { return do_is_on_used_connection(); }
+    [[nodiscard]] connection_use connection() const { return do_connection(); }
     /// Closes the connection after the response.
     void prevent_reuse() { do_prevent_reuse(); }
 
 protected:
     virtual void do_set_reading(bool enabled) = 0;
-    [[nodiscard]] virtual bool do_is_on_used_connection() const = 0;
+    [[nodiscard]] virtual connection_use do_connection() const = 0;
     virtual void do_prevent_reuse() = 0;
 };
 
--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -58,6 +58,8 @@
     void prevent_reuse() { may_reuse_ = false; }
     [[nodiscard]] bool is_usable(time_point now, micros max_idle) const;
     [[nodiscard]] const endpoint& server() const { return server_; }
+    /// The connection's number and the calls started on it so far.
+    [[nodiscard]] connection_use use() const { return use_; }
 
 protected:
     void do_connected() override;
@@ -99,6 +101,7 @@
     /// Bytes of the current call's own response, and those of them that belong to its body.
     std::size_t response_bytes_ = 0;
     std::size_t body_bytes_ = 0;
+    connection_use use_;
     time_point connect_before_{};
     time_point idle_since_{};
     micros max_idle_ = micros::max();
@@ -167,13 +170,14 @@
       head_memory_(pool_->loop.buffers(), memory_use::traffic) {}
 
 void pooled_connection::open() {
-    ++pool_->opened;
+    use_.connection = ++pool_->opened;
     ++pool_->open_counts[server_.str()];
     connection_ = tcp_connection::connect(pool_->loop, server_, *this);
 }
 
 void pooled_connection::start(std::string request, const call_options& options,
                               call_events& events) {
+    ++use_.earlier_calls;
     events_ = &events;
     request_ = std::move(request);
     request_memory_.force(request_.size());
@@ -377,9 +381,8 @@
 
 class running_call final : public http1_call {
 public:
-    running_call(std::shared_ptr<pooled_connection> connection, bool is_on_used_connection,
-                 call_events& events)
-        : connection_(std::move(connection)), is_on_used_connection_(is_on_used_connection),
+    running_call(std::shared_ptr<pooled_connection> connection, call_events& events)
+        : connection_(std::move(connection)), use_(connection_->use()),
           tracker_(std::make_shared<tracker>(events)) {}
     ~running_call() override {
         if (!tracker_->ended) {
@@ -429,7 +432,7 @@
             connection_->set_reading(enabled);
         }
     }
-    bool do_is_on_used_connection() const override { return is_on_used_connection_; }
+    connection_use do_connection() const override { return use_; }
     void do_prevent_reuse() override {
         if (!tracker_->ended) {
             connection_->prevent_reuse();
@@ -438,7 +441,7 @@
 
 private:
     std::shared_ptr<pooled_connection> connection_;
-    bool is_on_used_connection_;
+    connection_use use_;
     std::shared_ptr<tracker> tracker_;
 };
 
@@ -459,12 +462,11 @@
 std::unique_ptr<http1_call> http1_client::call(const endpoint& server, std::string request,
                                                const call_options& options, call_events& events) {
     std::shared_ptr<pooled_connection> connection = state_->take_idle(server, options.max_idle);
-    const bool is_used = connection != nullptr;
     if (!connection) {
         connection = std::make_shared<pooled_connection>(state_, server);
         connection->open();
     }
-    auto running = std::make_unique<running_call>(connection, is_used, events);
+    auto running = std::make_unique<running_call>(connection, events);
     connection->start(std::move(request), options, running->events());
     return running;
 }
--- a/src/node/call_forwarder.cc
+++ b/src/node/call_forwarder.cc
@@ -2,6 +2,7 @@
 
 #include "node/leaving_answers.h"
 #include "node/node_events.h"
+#include "node/skipped_answers.h"
 
 #include <utility>
 #include <vector>
@@ -52,6 +53,7 @@
         state_.links.on_bytes();
         const response_fields fields = state_.codec.read_response(head);
         if (!fields.attempt_id.empty() && fields.attempt_id != order_.attempt_id) {
+            log_skipped_answer(state_, order_.attempt_id, server_.id, fields, head);
             return false; // A late response to another call.
         }
         if (fields.attempt_id.empty()) {
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -47,6 +47,8 @@
                                                    "server_leaving_rejected"};
 inline constexpr log_event unnamed_answer_rejected{7060, log_severity::warning,
                                                    "unnamed_answer_rejected"};
+inline constexpr log_event foreign_answer_skipped{7071, log_severity::warning,
+                                                  "foreign_answer_skipped"};
 inline constexpr log_event move_ordered{7061, log_severity::info, "move_ordered"};
 inline constexpr log_event move_order_rejected{7062, log_severity::warning, "move_order_rejected"};
 inline constexpr log_event version_stopped{7063, log_severity::warning, "version_stopped"};
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -3,6 +3,7 @@
 #include "node/forward_message.h"
 #include "node/leaving_answers.h"
 #include "node/node_events.h"
+#include "node/skipped_answers.h"
 
 #include "jujubetide/base/rendezvous_hash.h"
 
@@ -305,6 +306,7 @@
     response_fields_ = {};
     attempt_has_events_ = false;
     has_engine_survived_ = false;
+    skipped_answers_ = 0;
     response_body_ = {};
     event_splitter_.discard_incomplete();
     response_memory_.force(0);
@@ -356,6 +358,7 @@
     if (!peer_) {
         state_.links.on_attempt_begun();
         call_ = state_.client.call(server_.address, bytes, options, *this);
+        connection_ = call_->connection();
         return;
     }
     state_.metrics.on_sent_through_peer();
@@ -363,6 +366,7 @@
     headers.add("Host", peer_->address.str());
     call_ = state_.client.call(
         peer_->address, serialize_request("POST", forward_path, headers, bytes), options, *this);
+    connection_ = call_->connection();
 }
 
 bool proxied_call::is_failed_forward(const response_head& head) {
@@ -423,6 +427,8 @@
     const bool success = is_success(head.status);
     const bool is_for_this_call = response_fields_.attempt_id == request_.fields.attempt_id;
     if (!is_for_this_call && !response_fields_.attempt_id.empty()) {
+        log_skipped_answer(state_, request_.fields.attempt_id, server_.id, response_fields_, head);
+        ++skipped_answers_;
         return false; // A late response to another call.
     }
     if (response_fields_.attempt_id.empty() && !is_first_answer_on_connection()) {
@@ -460,7 +466,7 @@
 }
 
 bool proxied_call::is_first_answer_on_connection() {
-    if (peer_ || call_->is_on_used_connection()) {
+    if (peer_ || connection_.earlier_calls > 0) {
         return false;
     }
     // The next call could not tell a copy of this answer from its own.
@@ -751,6 +757,10 @@
                      {{"id", request_.fields.attempt_id},
                       {"server", server_.id.str()},
                       {"through", peer_ ? peer_->node.str() : "-"},
+                      {"address", server_.address.str()},
+                      {"connection", std::to_string(connection_.connection)},
+                      {"earlier_calls", std::to_string(connection_.earlier_calls)},
+                      {"skipped_answers", std::to_string(skipped_answers_)},
                       {"outcome", last_cause_},
                       {"status", has_response_head_ ? std::to_string(response_head_.status) : "-"},
                       {"ms", ms_text(duration)},
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -133,6 +133,10 @@
 
     // State of the current attempt.
     std::unique_ptr<http1_call> call_;
+    /// The connection to the server, or to the peer.
+    connection_use connection_;
+    /// Answers to other calls that came in place of this one's.
+    int skipped_answers_ = 0;
     /// The peer through which the attempt is sent; empty for the node's own connection.
     std::optional<forwarding_peer> peer_;
     backend_server server_;
--- a/src/node/serving_metrics.cc
+++ b/src/node/serving_metrics.cc
@@ -40,6 +40,8 @@
                            "Calls to the platform's store by kind, table and outcome.")),
       peer_attempts_(counter(registry_, "jujubetide_peer_attempts_total",
                              "Attempts sent through a peer, and those of peers passed on.")),
+      skipped_answers_(counter(registry_, "jujubetide_skipped_answers_total",
+                               "Answers to other attempts that came in place of a call's own.")),
       call_durations_(histogram(registry_, "jujubetide_call_seconds",
                                 "Time to the end of a call, by service and outcome.")),
       first_event_latencies_(histogram(registry_, "jujubetide_first_event_seconds",
@@ -84,6 +86,10 @@
     peer_attempts_.Add({{"direction", "passed_on"}}).Increment();
 }
 
+void serving_metrics::on_skipped_answer() {
+    skipped_answers_.Add({}).Increment();
+}
+
 void serving_metrics::on_store_call(std::string_view kind, const std::string& table,
                                     std::string_view outcome) {
     store_calls_
--- a/tests/node/repeated_refusals_test.cc
+++ b/tests/node/repeated_refusals_test.cc
@@ -7,6 +7,7 @@
 #include <absl/strings/numbers.h>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -129,6 +130,31 @@
     const recorded_call got = fixture.call_as("id-2", "/once/");
     CHECK(got.head.status == 200);
     CHECK(server.runs("id-2") == 1);
+    const auto line = std::find_if(fixture.log.lines.begin(), fixture.log.lines.end(),
+                                   [](auto& l) { return l.name == "foreign_answer_skipped"; });
+    REQUIRE(line != fixture.log.lines.end());
+    CHECK(line->fields.at("id") == "id-2");
+    CHECK(line->fields.at("other") == "id-1");
+    CHECK(line->fields.at("refusal") == "yes");
+}
+
+TEST_CASE("the log line of an attempt names its connection and the calls that it carried before") {
+    refusals_fixture fixture;
+    repeating_server& server = fixture.add("i-1");
+    server.refuse_next(2);
+    (void)fixture.call_as("id-1", "/once/");
+    (void)fixture.call_as("id-2", "/once/");
+    std::vector<std::map<std::string, std::string>> attempts;
+    for (const recorded_log::line& line : fixture.log.lines) {
+        if (line.name == "attempt_over") {
+            attempts.push_back(line.fields);
+        }
+    }
+    REQUIRE(attempts.size() == 2);
+    CHECK(attempts[0].at("earlier_calls") == "0");
+    CHECK(attempts[1].at("earlier_calls") == "1");
+    CHECK(attempts[1].at("connection") == attempts[0].at("connection"));
+    CHECK(attempts[1].at("address") == server.address().str());
 }
 
 namespace {
