--- a/tests/node/repeated_refusals_test.cc
+++ b/tests/node/repeated_refusals_test.cc
@@ -1,7 +1,6 @@
 // Servers that write an earlier refusal once more on a kept connection, before they answer.
-#include "node_fixture.h"
 #include "node_process.h"
-#include "support/repeating_server.h"
+#include "refusals_fixture.h"
 #include "support/row_store_server.h"
 
 #include <absl/strings/numbers.h>
@@ -17,46 +16,6 @@
 
 using namespace jujubetide;
 
-namespace {
-
-std::string named_request(const std::string& attempt, const std::string& path) {
-    header_list headers;
-    headers.add("Host", "h.example");
-    headers.add("X-Attempt-Id", attempt);
-    headers.add("Authorization", "Token key");
-    return serialize_request("POST", path, headers, "body");
-}
-
-/// A node with repeating servers; a call may be sent to two of them if it has not run.
-struct refusals_fixture : node_fixture {
-    refusals_fixture() { start({{"once", {{"maxAttempts", 2}}}, {"often", {{"maxAttempts", 2}}}}); }
-    repeating_server& add(const std::string& id, const std::string& service = "plain") {
-        repeating.push_back(std::make_unique<repeating_server>(loop));
-        const int before = log.count("server_seen");
-        store.put("servers", id, registration_of_test(service, repeating.back()->address()));
-        REQUIRE(run_until(loop, [&] { return log.count("server_seen") > before; }));
-        return *repeating.back();
-    }
-    recorded_call call_as(const std::string& attempt, const std::string& path) {
-        recorded_call events;
-        call_options options;
-        options.max_idle = micros{0};
-        const auto running =
-            client.call(tested->caller_endpoint(), named_request(attempt, path), options, events);
-        REQUIRE(run_until(loop, [&] { return events.over(); }));
-        return events;
-    }
-
-    std::vector<std::unique_ptr<repeating_server>> repeating;
-};
-
-/// Statuses that promise that the call has not run and will not.
-bool promises_not_run(int status) {
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
-} // namespace
-
 TEST_CASE("an earlier refusal without an id that is repeated is not taken for a call's answer") {
     refusals_fixture fixture;
     repeating_server& server = fixture.add("i-1");
