REFUSED, TWICE: no attempt is sent over a connection that has carried its id

Cause: an answer was matched to its attempt by the caller's id alone. A server that writes an answer twice on a kept connection is believed where the connection has carried that id before: two server ids share an address and a call is sent to both, a peer passes the same call on again, a stream goes on at the same address, a caller uses an id twice. Evidence: shared_addresses_test, nine of ten cases fail on; in each, the second attempt went over the connection of the first and ended with the copy of its answer. Change: a connection carries an id once only. http1_client is told the id of each call and uses another connection if one has carried it; a connection is closed after 1,000 ids, so that what it remembers is bounded. Result: node_test 'a copy of*,a resumed stream takes*,a peer passes on no*,a node program runs no*,*refusal*': before, 9 of 15 fail; after, 15 of 15 pass. http1_test: 32 of 32, two of them new.

--- a/include/jujubetide/http1/http1_client.h
+++ b/include/jujubetide/http1/http1_client.h
@@ -56,6 +56,9 @@
     micros timeout{0};
     /// A pooled connection is reused only if idle for less than this; 0 always opens a new one.
     micros max_idle{std::chrono::seconds(4)};
+    /// The id by which responses are matched to the call; empty if there is none. A connection
+    /// carries an id once only, so that no copy of an earlier response is taken for the call's own.
+    std::string correlation_id;
 };
 
 /// Tells the connections that a client has opened apart, and the calls on one.
--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -4,6 +4,7 @@
 
 #include "jujubetide/http1/message_parser.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
@@ -17,6 +18,8 @@
 constexpr double usable_keep_alive_fraction = 0.5;
 /// Idle connections retained for one server.
 constexpr std::size_t max_idle_per_server = 32;
+/// Call ids that a connection remembers before it is closed.
+constexpr std::size_t max_ids_per_connection = 1'000;
 /// Bytes that a call accepts before its own response: interim and late responses.
 constexpr std::size_t max_bytes_before_response = std::size_t{1} << 20U;
 /// Bytes of head and chunk framing that a response may have beyond the size of its body.
@@ -57,6 +60,8 @@
     void set_reading(bool enabled);
     void prevent_reuse() { may_reuse_ = false; }
     [[nodiscard]] bool is_usable(time_point now, micros max_idle) const;
+    /// Whether a call with this id was started here; also true if the hashes of two ids are equal.
+    [[nodiscard]] bool has_carried(const std::string& correlation_id) const;
     [[nodiscard]] const endpoint& server() const { return server_; }
     /// The connection's number and the calls started on it so far.
     [[nodiscard]] connection_use use() const { return use_; }
@@ -102,6 +107,8 @@
     std::size_t response_bytes_ = 0;
     std::size_t body_bytes_ = 0;
     connection_use use_;
+    /// Hashes of the ids of the calls started here.
+    absl::flat_hash_set<std::size_t> carried_ids_;
     time_point connect_before_{};
     time_point idle_since_{};
     micros max_idle_ = micros::max();
@@ -117,23 +124,33 @@
     absl::flat_hash_map<std::string, std::size_t> open_counts;
     std::uint64_t opened = 0;
 
-    std::shared_ptr<pooled_connection> take_idle(const endpoint& server, micros max_idle) {
+    std::shared_ptr<pooled_connection> take_idle(const endpoint& server,
+                                                 const call_options& options) {
         const auto found = idle.find(server.str());
         if (found == idle.end()) {
             return nullptr;
         }
+        auto& list = found->second;
+        std::shared_ptr<pooled_connection> taken;
         // The most recently used first, so that surplus connections reach their idle limit and are
         // closed.
-        while (!found->second.empty()) {
-            auto connection = std::move(found->second.back());
-            found->second.pop_back();
-            if (connection->is_usable(time.now(), max_idle)) {
-                return connection;
+        for (std::size_t i = list.size(); i-- > 0 && !taken;) {
+            const std::shared_ptr<pooled_connection> connection = list[i];
+            const bool is_usable = connection->is_usable(time.now(), options.max_idle);
+            if (is_usable && connection->has_carried(options.correlation_id)) {
+                continue;
             }
-            connection->detach();
+            list.erase(list.begin() + static_cast<std::ptrdiff_t>(i));
+            if (is_usable) {
+                taken = connection;
+            } else {
+                connection->detach();
+            }
+        }
+        if (list.empty()) {
+            idle.erase(found);
         }
-        idle.erase(found);
-        return nullptr;
+        return taken;
     }
     void add_idle(const std::shared_ptr<pooled_connection>& connection) {
         auto& list = idle[connection->server().str()];
@@ -178,6 +195,9 @@
 void pooled_connection::start(std::string request, const call_options& options,
                               call_events& events) {
     ++use_.earlier_calls;
+    if (!options.correlation_id.empty()) {
+        carried_ids_.insert(std::hash<std::string>()(options.correlation_id));
+    }
     events_ = &events;
     request_ = std::move(request);
     request_memory_.force(request_.size());
@@ -219,6 +239,11 @@
     return state_ == state::idle && now - idle_since_ < std::min(max_idle, max_idle_);
 }
 
+bool pooled_connection::has_carried(const std::string& correlation_id) const {
+    return !correlation_id.empty() &&
+           carried_ids_.contains(std::hash<std::string>()(correlation_id));
+}
+
 void pooled_connection::do_connected() {
     connect_timer_.reset();
     // The loop's timers stand still while the machine is suspended; the caller's reasons to send
@@ -321,7 +346,8 @@
 void pooled_connection::complete() {
     timer_.reset();
     call_events* events = std::exchange(events_, nullptr);
-    if (keep_alive_ && may_reuse_ && connection_->is_open()) {
+    const bool can_carry_more = may_reuse_ && carried_ids_.size() < max_ids_per_connection;
+    if (keep_alive_ && can_carry_more && connection_->is_open()) {
         state_ = state::idle;
         idle_since_ = pool_->time.now();
         pool_->add_idle(shared_from_this());
@@ -461,7 +487,7 @@
 
 std::unique_ptr<http1_call> http1_client::call(const endpoint& server, std::string request,
                                                const call_options& options, call_events& events) {
-    std::shared_ptr<pooled_connection> connection = state_->take_idle(server, options.max_idle);
+    std::shared_ptr<pooled_connection> connection = state_->take_idle(server, options);
     if (!connection) {
         connection = std::make_shared<pooled_connection>(state_, server);
         connection->open();
--- a/src/node/call_forwarder.cc
+++ b/src/node/call_forwarder.cc
@@ -37,6 +37,7 @@
         call_options options;
         options.connect_timeout = connect_timeout;
         options.max_idle = order_.max_idle;
+        options.correlation_id = order_.attempt_id;
         call_ = state_.client.call(server_.address, std::move(request), options, *this);
     }
 
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -331,6 +331,7 @@
     call_options options;
     options.connect_timeout = std::min<micros>(connect_timeout, time_left());
     options.max_idle = retry_policy::can_rerun(route_) ? max_idle : max_idle_not_idempotent;
+    options.correlation_id = request_.fields.attempt_id;
     if (request_.fields.attempt_id.empty()) {
         options.max_idle = micros{0}; // Only its connection tells an answer from a copy of another.
     }
--- a/tests/http1/http1_client_test.cc
+++ b/tests/http1/http1_client_test.cc
@@ -11,6 +11,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <sys/socket.h>
 #include <thread>
@@ -75,6 +76,39 @@
     CHECK(fixture.client.connections_opened() == 2);
 }
 
+TEST_CASE("a copy of an earlier response cannot bear the id of a call on the same connection") {
+    client_fixture fixture;
+    scripted_server server(fixture.loop, fixture.time,
+                           [](scripted_call& call) { call.exchange->respond(200, {}, "ok"); });
+    call_options named;
+    named.correlation_id = "id-1";
+    call_options other;
+    other.correlation_id = "id-2";
+    std::array<recorded_call, 4> calls;
+    fixture.call(server.address(), calls[0], named);
+    fixture.call(server.address(), calls[1], other);
+    CHECK(fixture.client.connections_opened() == 1);
+    fixture.call(server.address(), calls[2], named);
+    CHECK(fixture.client.connections_opened() == 2);
+    fixture.call(server.address(), calls[3], other); // On the second one, which has not carried it.
+    CHECK(fixture.client.connections_opened() == 2);
+    CHECK(fixture.client.open_connections(server.address()) == 2);
+}
+
+TEST_CASE("a connection does not remember the ids of its calls without bound") {
+    client_fixture fixture;
+    scripted_server server(fixture.loop, fixture.time,
+                           [](scripted_call& call) { call.exchange->respond(200, {}, "ok"); });
+    for (int i = 0; i <= 1'000; ++i) {
+        recorded_call events;
+        call_options options;
+        options.correlation_id = std::to_string(i);
+        fixture.call(server.address(), events, options);
+        REQUIRE(events.whole);
+    }
+    CHECK(fixture.client.connections_opened() == 2);
+}
+
 TEST_CASE("a response is complete only with its last byte") {
     const auto [bytes, complete] = GENERATE(table<std::string, bool>(
         {{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour", true},
