REFUSED: a server id that its address denies is paused

What callers saw: calls were refused 503 although servers were free, and each call that was served began with an attempt that was answered 421. Cause: a 421 had no effect on the choice of servers. The denied id never has a call that runs, so it is the least busy. Change: such an id is paused like a server that cannot be reached, 300 ms and then up to 4 s.

--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -733,8 +733,11 @@
     response_memory_.force(response_body_.size());
     switch (outcome) {
     case attempt_outcome::not_sent:
+        ++progress_.undelivered_sends;
+        break;
     case attempt_outcome::wrong_server:
         ++progress_.undelivered_sends;
+        state_.health.on_unreachable(server_.id, now); // Another server has its address.
         break;
     case attempt_outcome::not_run:
         ++progress_.servers_tried;
