REFUSED, TWICE, MIXED: a part of an answer and the answer after it are not read as one

What callers saw: 503 for a request that ran, a request that may run once ran twice, or a server's failure as a success. It takes one server at one address and a route with a single attempt. That the users' servers do so is not known. Cause: a server writes a part of an earlier answer on a kept connection and then the next call's own answer. Where the part ends in the reason or in a field's value before the attempt's id, both are read as one head: the status and fields of the part with the id of the attempt that runs. Change: the head of a response that contains the first line of another response, in its reason or in a field's value, is malformed; the attempt counts as one that may have run.

--- a/src/http1/message_parser.cc
+++ b/src/http1/message_parser.cc
@@ -5,6 +5,25 @@
 #include <utility>
 
 namespace jujubetide {
+namespace {
+
+/// Whether the text contains the first line of a response.
+bool contains_status_line(std::string_view text) {
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t code_at = version.size() + 2; // After the minor version and a space.
+    const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+    for (std::size_t at = text.find(version); at != std::string_view::npos;
+         at = text.find(version, at + 1)) {
+        const std::string_view line = text.substr(at);
+        if (line.size() >= code_at + 3 && line[code_at - 1] == ' ' &&
+            std::all_of(line.begin() + code_at, line.begin() + code_at + 3, is_digit)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
 
 struct message_parser::native {
     /// Returned by a callback to make http_parser fail the message.
@@ -16,6 +35,7 @@
     response_head response;
     std::string name;
     std::string value;
+    std::string reason;
     bool value_begun = false;
 
     static native& from(http_parser* raw_parser) { return *static_cast<native*>(raw_parser->data); }
@@ -49,6 +69,13 @@
                std::none_of(headers.fields().begin(), headers.fields().end(), has_space);
     }
 
+    /// Whether a part of a response was read together with the head of the next one.
+    [[nodiscard]] bool has_second_head(const header_list& headers) const {
+        return contains_status_line(reason) ||
+               std::any_of(headers.fields().begin(), headers.fields().end(),
+                           [](const auto& field) { return contains_status_line(field.second); });
+    }
+
     int on_head_complete() {
         end_field();
         owner->head_complete_ = true;
@@ -59,7 +86,10 @@
         if (owner->head_too_large_ || !is_unambiguous(headers)) {
             return malformed;
         }
-        return owner->kind_ == kind::request ? emit_request_head() : emit_response_head();
+        if (owner->kind_ == kind::request) {
+            return emit_request_head();
+        }
+        return has_second_head(headers) ? malformed : emit_response_head();
     }
 
     int emit_request_head() {
@@ -107,6 +137,10 @@
                 from(raw_parser).request.target.append(data, length);
                 return 0;
             };
+            result.on_status = [](http_parser* raw_parser, const char* data, std::size_t length) {
+                from(raw_parser).reason.append(data, length);
+                return 0;
+            };
             result.on_header_field = [](http_parser* raw_parser, const char* data,
                                         std::size_t length) {
                 native& self = from(raw_parser);
@@ -163,6 +197,7 @@
     native_->response = {};
     native_->name.clear();
     native_->value.clear();
+    native_->reason.clear();
     native_->value_begun = false;
     state_ = parse_state::incomplete;
     begun_ = false;
--- a/tests/http1/message_parser_test.cc
+++ b/tests/http1/message_parser_test.cc
@@ -57,6 +57,21 @@
     CHECK_FALSE(message.request->headers.has("X-Tenant"));
 }
 
+TEST_CASE("a part of a response and the response after it are not read as one head") {
+    const auto [text, state] = GENERATE(table<std::string, parse_state>(
+        {{"HTTP/1.1 421 MisHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", parse_state::malformed},
+         {"HTTP/1.1 503 Full\r\nX: 1HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+          parse_state::malformed},
+         {"HTTP/1.1 100 ConHTTP/1.1 200 OK\r\nX: y\r\n\r\n", parse_state::malformed},
+         {"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nContent-Length: 0\r\n\r\n",
+          parse_state::complete}}));
+    recorded_message message;
+    message_parser parser(message_parser::kind::response, message);
+    parser.feed(text);
+    INFO(text);
+    CHECK(parser.state() == state);
+}
+
 TEST_CASE("messages with ambiguous framing are malformed") {
     const auto text =
         GENERATE(as<std::string>(),
--- a/tests/node/repeated_refusals_test.cc
+++ b/tests/node/repeated_refusals_test.cc
@@ -80,6 +80,69 @@
     CHECK_FALSE((promises_not_run(got.head.status) && server.runs("id-1") > 0));
 }
 
+namespace {
+
+/// The beginnings of refusals of another attempt that end before its id.
+std::vector<std::string> cut_refusals() {
+    std::vector<std::string> cut;
+    for (const std::string head :
+         {"HTTP/1.1 421 Misdirected Request\r\nRetry-After: 0.100\r\n",
+          "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nRetry-After: 0.100\r\n"}) {
+        for (std::size_t length = 1; length <= head.size(); ++length) {
+            cut.push_back(head.substr(0, length));
+        }
+    }
+    return cut;
+}
+
+} // namespace
+
+TEST_CASE("a part of an earlier refusal is not taken for the head of a call's answer") {
+    refusals_fixture fixture;
+    repeating_server& server = fixture.add("i-1");
+    int number = 0;
+    for (const std::string& part : cut_refusals()) {
+        (void)fixture.call_as("first", "/once/"); // Leaves a connection.
+        server.write_before_next(part);
+        const std::string id = "id-" + std::to_string(++number);
+        const recorded_call got = fixture.call_as(id, "/once/");
+        INFO(part << ": status " << got.head.status << ", runs " << server.runs(id));
+        CHECK_FALSE((promises_not_run(got.head.status) && server.runs(id) > 0));
+    }
+}
+
+TEST_CASE("a part of an earlier refusal sends no call that runs to a second server") {
+    refusals_fixture fixture;
+    repeating_server& one = fixture.add("i-1");
+    repeating_server& other = fixture.add("i-2");
+    int number = 0;
+    for (const std::string& part : cut_refusals()) {
+        (void)fixture.call_as("first", "/once/");
+        one.write_before_next(part);
+        other.write_before_next(part);
+        const std::string id = "id-" + std::to_string(++number);
+        const recorded_call got = fixture.call_as(id, "/once/");
+        const int runs = one.runs(id) + other.runs(id);
+        INFO(part << ": status " << got.head.status << ", runs " << runs);
+        CHECK(runs <= 1);
+    }
+}
+
+TEST_CASE("a part of an earlier answer does not turn a failure into a success") {
+    refusals_fixture fixture;
+    repeating_server& server = fixture.add("i-1");
+    const std::string head = "HTTP/1.1 200 Status\r\nX-Upstream-Signature: s\r\n";
+    for (std::size_t length = 1; length <= head.size(); ++length) {
+        server.set_status(200);
+        (void)fixture.call_as("first", "/once/");
+        server.set_status(500);
+        server.write_before_next(head.substr(0, length));
+        const recorded_call got = fixture.call_as("id-1", "/once/");
+        INFO(head.substr(0, length) << ": status " << got.head.status);
+        CHECK(got.head.status != 200);
+    }
+}
+
 TEST_CASE("an earlier refusal that names its own attempt is skipped") {
     refusals_fixture fixture;
     repeating_server& server = fixture.add("i-1");
--- a/tests/support/repeating_server.h
+++ b/tests/support/repeating_server.h
@@ -38,6 +38,8 @@
     /// Whether refusals bear the attempt's id.
     void set_named(bool named) { is_named_ = named; }
     void set_run_time(millis duration) { run_time_ = duration; }
+    /// The status of requests that are run.
+    void set_status(int status) { status_ = status; }
     void answer_with(answer_maker maker) { make_answer_ = std::move(maker); }
     void refuse_next(int requests) { to_refuse_ = requests; }
     void run_next() { to_refuse_ = 0; }
@@ -47,6 +49,10 @@
     void repeat_after_refusal() { repeats_after_refusal_ = true; }
     /// As `repeat_before_next`, with the last answer of the connection, refusal or not.
     void repeat_answer_before_next() { repeats_answer_ = true; }
+    /// The answer to the next request that is run on a used connection is preceded by these bytes.
+    void write_before_next(std::string bytes) { before_next_ = std::move(bytes); }
+    /// Connections that were accepted so far.
+    [[nodiscard]] std::size_t connections() const { return sessions_.size(); }
     [[nodiscard]] int runs(const std::string& attempt) const {
         const auto found = runs_.find(attempt);
         return found == runs_.end() ? 0 : found->second;
@@ -120,8 +126,8 @@
         if (std::exchange(on.has_served, true)) {
             write_copy(on);
         }
-        on.answer = "HTTP/1.1 200 OK\r\nX-Upstream-Signature: s\r\n" + id_field(on) +
-                    make_answer_(on.head, run);
+        on.answer = "HTTP/1.1 " + std::to_string(status_) + " Status\r\n" + id_field(on) +
+                    "X-Upstream-Signature: s\r\n" + make_answer_(on.head, run);
         on.timer = loop_.once(run_time_, [&on] {
             if (on.is_open) {
                 on.connection->write(on.answer);
@@ -129,6 +135,7 @@
         });
     }
     void write_copy(session& on) {
+        on.connection->write(std::exchange(before_next_, {}));
         if (repeats_answer_ && !on.answer.empty()) {
             repeats_answer_ = false;
             on.connection->write(on.answer);
@@ -149,6 +156,8 @@
     bool repeats_ = false;
     bool repeats_after_refusal_ = false;
     bool repeats_answer_ = false;
+    std::string before_next_;
+    int status_ = 200;
     std::string last_refusal_;
     int all_runs_ = 0;
     std::map<std::string, int> runs_;
