A connection on which an answer came late carries no further call

What callers saw: nothing of its own; it widens what a server that writes one answer too many can do to later calls. Cause: the client skips such an answer and meant to close the connection after the call, but the head of the call's own answer set keep_alive_ anew, so that the connection went back to the pool. Evidence: a refusal that names its attempt is written again before the next answer; the call after that came on the same connection, 1 where 2 are expected, on and on. Change: a skipped answer prevents the connection's reuse for good.

--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -276,8 +276,9 @@
             return;
         }
         if (skipping_response_ || informational_response_) {
-            // A response to an earlier request; after one the connection is not reused.
-            keep_alive_ = keep_alive_ && informational_response_;
+            // After a response to an earlier request the connection is not reused: the server has
+            // written one too many there.
+            may_reuse_ = may_reuse_ && !skipping_response_;
             skipping_response_ = false;
             informational_response_ = false;
             parser_.restart();
@@ -311,7 +312,7 @@
         return;
     }
     skipping_response_ = !events_->on_head(head);
-    keep_alive_ = head.keep_alive && !skipping_response_;
+    keep_alive_ = head.keep_alive;
     max_idle_ = micros::max();
     if (const auto timeout = keep_alive_timeout(head.headers)) {
         max_idle_ = micros(static_cast<std::int64_t>(static_cast<double>(timeout->count()) *
--- a/tests/node/repeated_refusals_test.cc
+++ b/tests/node/repeated_refusals_test.cc
@@ -160,6 +160,18 @@
     CHECK(line->fields.at("refusal") == "yes");
 }
 
+TEST_CASE("a connection on which an answer to an earlier call came late carries no further call") {
+    refusals_fixture fixture;
+    repeating_server& server = fixture.add("i-1");
+    server.refuse_next(1);
+    (void)fixture.call_as("id-1", "/once/");
+    server.repeat_before_next();
+    CHECK(fixture.call_as("id-2", "/once/").head.status == 200);
+    REQUIRE(server.connections() == 1);
+    CHECK(fixture.call_as("id-3", "/once/").head.status == 200);
+    CHECK(server.connections() == 2);
+}
+
 TEST_CASE("the log line of an attempt names its connection and the calls that it carried before") {
     refusals_fixture fixture;
     repeating_server& server = fixture.add("i-1");
