REFUSED, TWICE: a call that has reached an address is not sent there again

Cause: two server ids may share an address, and a call is sent to both. A server that repeats, on another connection, the refusal that it gave to the first attempt is believed, as the copy names the attempt. Evidence: two kept connections, a refusal on one, its copy on the other before the call runs there: 503 and one run, on the code before this commit. Change: addresses that an attempt has reached are left out when the next server is chosen; only a connection that was not made does not count. A call that finds no other server is refused, truly, or fails. Result: node_test 'a copy of a refusal on another connection*': before red, after green, 503 and 421. Tests: two servers of forwarded_calls_test shared an address at which nothing listens; each now has its own, as a call that may run twice is not sent to one address twice. Its checks are unchanged.

--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -192,7 +192,7 @@
 std::vector<const backend_server*> proxied_call::candidates() {
     std::vector<const backend_server*> servers = state_.backends.usable(service_->id);
     std::erase_if(servers, [this](const backend_server* server) {
-        return !state_.trials.may_send(*server, state_.backends);
+        return !state_.trials.may_send(*server, state_.backends) || was_reached(server->address);
     });
     limited_count_ = 0;
     limited_interval_ = micros::max();
@@ -211,6 +211,11 @@
     return servers;
 }
 
+bool proxied_call::was_reached(const endpoint& address) const {
+    return std::find(reached_addresses_.begin(), reached_addresses_.end(), address) !=
+           reached_addresses_.end();
+}
+
 bool proxied_call::would_miss_target(const placement_choice& choice) const {
     if (!is_stream() || progress_.has_begun) {
         return false;
@@ -731,6 +736,9 @@
     end_attempt();
     event_splitter_.discard_incomplete();
     response_memory_.force(response_body_.size());
+    if (outcome != attempt_outcome::not_sent) {
+        reached_addresses_.push_back(server_.address);
+    }
     switch (outcome) {
     case attempt_outcome::not_sent:
         ++progress_.undelivered_sends;
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -65,7 +65,9 @@
     [[nodiscard]] std::uint64_t content() const;
     void choose_service();
     [[nodiscard]] std::optional<placement_choice> choose_server();
-    /// The servers of the call's service that may get a call now, within the limits they named.
+    /// The servers of the call's service that may get a call now, within the limits they named,
+    /// at addresses that no attempt of this call has reached: what answers there now may repeat
+    /// what was answered to that attempt.
     [[nodiscard]] std::vector<const backend_server*> candidates();
     /// Whether an answer without an attempt id can only belong to this call; its connection is not
     /// used again then.
@@ -78,6 +80,7 @@
     /// Chooses whether the next attempt is sent through a peer; refuses or fails the call and
     /// returns false if no server can be reached either way.
     [[nodiscard]] bool choose_path();
+    [[nodiscard]] bool was_reached(const endpoint& address) const;
     [[nodiscard]] bool would_miss_target(const placement_choice& choice) const;
     void try_next_server();
     /// Ends the call if calls like it crash servers; returns whether it has.
@@ -125,6 +128,8 @@
     const serving_service* service_ = nullptr;
     call_progress progress_;
     std::vector<backend_server_id> tried_servers_;
+    /// Addresses at which an attempt may have arrived.
+    std::vector<endpoint> reached_addresses_;
     bool is_usage_counted_ = false;
     /// The outcome of the last attempt; `not_run` before the first one.
     attempt_outcome last_outcome_ = attempt_outcome::not_run;
--- a/tests/node/forwarded_calls_test.cc
+++ b/tests/node/forwarded_calls_test.cc
@@ -41,10 +41,11 @@
     explicit cut_node_fixture(const scripted_server::script& script) {
         store.put("op", "config", config_of_test(1, nlohmann::json::object()));
         // Nothing listens there.
-        for (const char* id : {"i-1", "i-2"}) {
-            store.put("servers", id, registration_of_test("plain", {"127.0.0.1", own_port(8)}));
-            store.put("servers", std::string(id) + "-model",
-                      registration_of_test("model", {"127.0.0.1", own_port(8)}));
+        for (const int number : {8, 9}) {
+            const std::string id = "i-" + std::to_string(number);
+            const endpoint address{"127.0.0.1", own_port(number)};
+            store.put("servers", id, registration_of_test("plain", address));
+            store.put("servers", id + "-model", registration_of_test("model", address));
         }
         for (const char* name : {"p1", "p2"}) {
             peers.push_back(std::make_unique<scripted_peer>(loop, time, store, name, script));
--- a/tests/node/shared_addresses_test.cc
+++ b/tests/node/shared_addresses_test.cc
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <filesystem>
 #include <optional>
 #include <unistd.h>
@@ -147,6 +148,33 @@
     check_promises(cases_of(wrong_server_status, 2, true));
 }
 
+TEST_CASE("a copy of a refusal on another connection of its server refuses no call that runs") {
+    const int status = GENERATE(not_run_status, wrong_server_status);
+    refusals_fixture fixture(attempts_of(2));
+    repeating_server& server = fixture.add("i-1");
+    fixture.register_at(server.address(), "i-2", "plain");
+    // Two calls at a time leave two connections that have served.
+    std::array<recorded_call, 2> events;
+    const auto one = fixture.send_as("one", "/once/", events[0]);
+    const auto two = fixture.send_as("two", "/once/", events[1]);
+    REQUIRE(run_until(fixture.loop, [&] { return events[0].over() && events[1].over(); }));
+    CHECK(fixture.call_as("first", "/once/").head.status == 200);
+    REQUIRE(server.connections() == 2);
+    if (status == wrong_server_status) {
+        // The id that the node chooses first is the one of a server that has gone.
+        server.set_id(server.last_expected() == "i-1" ? "i-2" : "i-1");
+    } else {
+        server.refuse_next(1);
+    }
+    server.repeat_after_refusal();
+    const recorded_call got = fixture.call_as("id-1", "/once/");
+    run_for(fixture.loop, millis{50});
+    REQUIRE(fixture.log.count("attempt_over") > 0);
+    INFO("after " << status << ": status " << got.head.status << ", runs " << server.runs("id-1"));
+    CHECK_FALSE((promises_not_run(got.head.status) && server.runs("id-1") > 0));
+    CHECK(server.runs("id-1") <= 1);
+}
+
 TEST_CASE("a copy of a refusal for an id that its caller uses again refuses no call that runs") {
     const std::string path = GENERATE("/once/", "/stream/");
     const int status = GENERATE(not_run_status, wrong_server_status);
