Log lines for silent servers of streams and for retries that are withheld

The log had `attempt_over` with `broken_midway` for each, the same line as for a server that closes its connection, and nothing on why the call was not sent to another server. It could not tell apart: the stop ends calls, the server breaks off, the node gives the server up; and no second server, no retry left, no time left.

`server_silent` (JT7071) is written when a stream's server has sent nothing for a while, with the silence, the time left and whether the node stops. `retry_withheld` (JT7072) names why a call that may be sent again was not. No behaviour changes.

--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -261,6 +261,9 @@
         return;
     }
     if (!choice) {
+        if (progress_.may_have_run) {
+            log_retry_withheld("no_server");
+        }
         last_cause_ = last_cause_.empty() ? "no_server" : last_cause_;
         apply_step(retry_policy::fallback_step(progress_, last_outcome_), last_outcome_);
         return;
@@ -416,10 +419,23 @@
     if (!peer_) {
         state_.health.on_unreachable(server_.id, state_.time.now());
     }
+    log_silent_server();
     on_attempt_failed(progress_.has_begun ? attempt_outcome::broken_midway
                                           : attempt_outcome::broken);
 }
 
+void proxied_call::log_silent_server() const {
+    state_.log.write(server_silent, {{"id", request_.fields.attempt_id},
+                                     {"server", server_.id.str()},
+                                     {"through", peer_ ? peer_->node.str() : "-"},
+                                     {"silent_ms", ms_text(state_.time.now() - last_event_at_)},
+                                     {"events", std::to_string(event_splitter_.event_count())},
+                                     {"estimate_ms", ms_text(choice_.first_event)},
+                                     {"left_ms", ms_text(time_left())},
+                                     {"servers_tried", std::to_string(progress_.servers_tried)},
+                                     {"stopping", state_.stopping ? "yes" : "no"}});
+}
+
 bool proxied_call::do_head(const response_head& head) {
     if (peer_) {
         const auto alive = shared_from_this();
@@ -803,12 +819,14 @@
 
 bool proxied_call::can_resend(attempt_outcome outcome) {
     if (time_left() < min_time_for_attempt) {
+        log_retry_withheld("no_time");
         return false;
     }
     if (outcome == attempt_outcome::not_sent) {
         return true;
     }
     if (!state_.retries.try_spend(service_->id)) {
+        log_retry_withheld("retry_budget");
         return false;
     }
     state_.metrics.on_retry(service_->id);
@@ -818,6 +836,14 @@
     return true;
 }
 
+void proxied_call::log_retry_withheld(std::string_view cause) const {
+    state_.log.write(retry_withheld, {{"id", request_.fields.attempt_id},
+                                      {"service", service_->id.str()},
+                                      {"cause", std::string(cause)},
+                                      {"began", progress_.has_begun ? "yes" : "no"},
+                                      {"servers_tried", std::to_string(progress_.servers_tried)}});
+}
+
 void proxied_call::apply_step(next_step step, attempt_outcome outcome) {
     switch (step) {
     case next_step::resend:
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -108,10 +108,12 @@
     void check_engine_survived();
     void apply_step(next_step step, attempt_outcome outcome);
     [[nodiscard]] bool can_resend(attempt_outcome outcome);
+    void log_retry_withheld(std::string_view cause) const;
     void end_attempt();
     void count_usage_once();
     void on_deadline();
     void check_for_stall();
+    void log_silent_server() const;
     void start_stall_checks();
 
     void refuse(std::string_view cause, micros retry_after);
