An event that arrives in many small pieces no longer takes time by the square of its length

Callers would see: all calls of a node stand still while one server sends an event in very many pieces, as the node has one thread. Seen in a test, not in production.

Cause: `event_splitter::feed` searched the whole incomplete event for its end again with each piece, and copied it.

Change: only new bytes are searched, from the start of the incomplete line, and nothing is copied before an event is complete.

--- a/src/node/event_splitter.cc
+++ b/src/node/event_splitter.cc
@@ -3,39 +3,34 @@
 #include <algorithm>
 
 namespace jujubetide {
-namespace {
-
-/// Position behind the blank line that ends the event at `from`; npos if it is incomplete.
-std::size_t event_end(std::string_view text, std::size_t from) {
-    while (from < text.size()) {
-        const std::size_t line_end = text.find('\n', from);
-        if (line_end == std::string_view::npos) {
-            return line_end;
-        }
-        const std::size_t length = line_end - from;
-        if (length == 0 || (length == 1 && text[from] == '\r')) {
-            return line_end + 1;
-        }
-        from = line_end + 1;
-    }
-    return std::string_view::npos;
-}
-
-} // namespace
-
 std::string event_splitter::feed(std::string_view bytes) {
+    std::size_t line_end = incomplete_.size();
     incomplete_ += bytes;
+    const std::string_view text = incomplete_;
     std::size_t consumed = 0;
-    for (std::size_t end = event_end(incomplete_, consumed); end != std::string::npos;
-         end = event_end(incomplete_, consumed)) {
-        record_event(std::string_view(incomplete_).substr(consumed, end - consumed));
-        consumed = end;
+    // Only new bytes are searched: an event may arrive in very many pieces.
+    while ((line_end = text.find('\n', line_end)) != std::string_view::npos) {
+        const std::string_view line = text.substr(line_start_, line_end - line_start_);
+        line_start_ = ++line_end;
+        if (line.empty() || line == "\r") {
+            record_event(text.substr(consumed, line_end - consumed));
+            consumed = line_end;
+        }
+    }
+    if (consumed == 0) {
+        return {};
     }
     std::string complete_events = incomplete_.substr(0, consumed);
     incomplete_ = incomplete_.substr(consumed); // Keeps no memory of a large event.
+    line_start_ -= consumed;
     return complete_events;
 }
 
+void event_splitter::discard_incomplete() {
+    incomplete_ = {};
+    line_start_ = 0;
+}
+
 void event_splitter::record_event(std::string_view event) {
     bool has_content = false;
     while (!event.empty()) {
