A stream whose server is silent is not cut

These callers wait for 4.8 s.

Cause: 1.5 s without an event counted as a broken attempt. The attempt was ended first; only then was it asked whether another one may be made. Without a retry in the budget, another server or another attempt, nothing was left but to cut the answer. The stop has no part in it.

Change: the attempt at a silent server ends only once another one is certain (an attempt, a path and a server, a retry left, no quarantined prompt); else the stream waits and is tried again at the next check, until its time is over. A stream is moved when another server can still answer within the patience of the caller (2 s, four targets or eight gaps), less the target and one check, and no later than half of the time left; as before, never sooner than 1.5 s, after which the server gets fewer new calls. The same rule holds in a stop.

--- a/include/jujubetide/serving/retry_policy.h
+++ b/include/jujubetide/serving/retry_policy.h
@@ -53,6 +53,8 @@
     /// Undelivered sends after which a call is given up.
     static constexpr int max_undelivered_sends = 4;
 
+    /// Time without an event after which callers abandon a stream.
+    static micros caller_patience(const serving_route& route);
     /// Whether a call of the route may be sent again after it may have run.
     static bool can_rerun(const serving_route& route);
     /// The step after `outcome`; `resend` only while `progress` allows another server.
--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -32,8 +32,9 @@
 constexpr micros min_time_for_attempt{20'000};
 /// Every call may queue for at least the route's target divided by this.
 constexpr int min_wait_divisor = 3;
-/// Time without an event after which a resumable stream is moved to another server.
-constexpr micros max_stall_time{1'500'000};
+/// Time without an event after which a server gets no new calls for a while, and the shortest one
+/// after which a stream is moved to another server.
+constexpr micros min_stall_time{1'500'000};
 constexpr micros stall_check_period{250'000};
 /// Minimum retry delay sent to a refused caller.
 constexpr micros min_retry_after{100'000};
@@ -245,9 +246,12 @@
 }
 
 void proxied_call::try_next_server() {
-    if (end_if_crashing()) {
-        return;
+    if (!end_if_crashing()) {
+        send_to_next_server();
     }
+}
+
+void proxied_call::send_to_next_server() {
     if (time_left() < min_time_for_attempt) {
         apply_step(retry_policy::fallback_step(progress_, last_outcome_), last_outcome_);
         return;
@@ -413,15 +417,50 @@
         return;
     }
     const micros expected = attempt_has_events_ ? micros{0} : choice_.first_event * 2;
-    if (state_.time.now() - last_event_at_ < max_stall_time + expected) {
+    const micros suspicious = min_stall_time + expected;
+    const micros silence = state_.time.now() - last_event_at_;
+    if (silence < suspicious) {
         return;
     }
-    if (!peer_) {
-        state_.health.on_unreachable(server_.id, state_.time.now());
+    if (std::exchange(reported_silence_, last_event_at_) != last_event_at_) {
+        if (!peer_) {
+            state_.health.on_unreachable(server_.id, state_.time.now());
+        }
+        log_silent_server();
+        withheld_cause_ = {};
+    }
+    if (silence >= std::max(suspicious, max_silence())) {
+        leave_silent_server();
+    }
+}
+
+micros proxied_call::max_silence() const {
+    // Another server needs up to the route's target for its first event, and time for the others.
+    const micros for_caller =
+        retry_policy::caller_patience(route_) - route_.target - stall_check_period;
+    return std::min<micros>(for_caller, (deadline_ - last_event_at_) / 2);
+}
+
+void proxied_call::leave_silent_server() {
+    const attempt_outcome outcome =
+        progress_.has_begun ? attempt_outcome::broken_midway : attempt_outcome::broken;
+    call_progress after = progress_;
+    ++after.servers_tried;
+    if (retry_policy::decide(route_, after, outcome) != next_step::resend) {
+        return;
+    }
+    // The server may go on: its attempt ends only if another one can be made.
+    if (state_.links.are_lost() && !state_.links.choose_peer()) {
+        log_retry_withheld("no_server_links");
+    } else if (!choose_server()) {
+        log_retry_withheld("no_server");
+    } else if (state_.crashes.blocks_calls() && state_.crashes.refusal(suspects())) {
+        log_retry_withheld("crashing_prompt");
+    } else if (can_resend(outcome)) {
+        const auto alive = shared_from_this();
+        record_failed_attempt(outcome);
+        send_to_next_server();
     }
-    log_silent_server();
-    on_attempt_failed(progress_.has_begun ? attempt_outcome::broken_midway
-                                          : attempt_outcome::broken);
 }
 
 void proxied_call::log_silent_server() const {
@@ -836,7 +875,10 @@
     return true;
 }
 
-void proxied_call::log_retry_withheld(std::string_view cause) const {
+void proxied_call::log_retry_withheld(std::string_view cause) {
+    if (std::exchange(withheld_cause_, cause) == cause) {
+        return; // Each check of a silent server tries again.
+    }
     state_.log.write(retry_withheld, {{"id", request_.fields.attempt_id},
                                       {"service", service_->id.str()},
                                       {"cause", std::string(cause)},
--- a/src/node/proxied_call.h
+++ b/src/node/proxied_call.h
@@ -83,6 +83,7 @@
     [[nodiscard]] bool was_reached(const endpoint& address) const;
     [[nodiscard]] bool would_miss_target(const placement_choice& choice) const;
     void try_next_server();
+    void send_to_next_server();
     /// Ends the call if calls like it crash servers; returns whether it has.
     [[nodiscard]] bool end_if_crashing();
     void send(const placement_choice& choice);
@@ -108,11 +109,15 @@
     void check_engine_survived();
     void apply_step(next_step step, attempt_outcome outcome);
     [[nodiscard]] bool can_resend(attempt_outcome outcome);
-    void log_retry_withheld(std::string_view cause) const;
+    void log_retry_withheld(std::string_view cause);
     void end_attempt();
     void count_usage_once();
     void on_deadline();
     void check_for_stall();
+    /// Time without an event after which the stream is moved to another server.
+    [[nodiscard]] micros max_silence() const;
+    /// Moves the stream to another server if one may take it; else the attempt goes on.
+    void leave_silent_server();
     void log_silent_server() const;
     void start_stall_checks();
 
@@ -156,6 +161,10 @@
     placement_choice choice_;
     time_point sent_at_{};
     time_point last_event_at_{};
+    /// The value of `last_event_at_` for which the server's silence was reported.
+    time_point reported_silence_{};
+    /// Why the call was not sent to another server, as last logged; static text.
+    std::string_view withheld_cause_;
     micros first_event_latency_{0};
     response_head response_head_;
     response_fields response_fields_;
--- a/src/serving/retry_policy.cc
+++ b/src/serving/retry_policy.cc
@@ -1,7 +1,16 @@
 #include "jujubetide/serving/retry_policy.h"
 
+#include <algorithm>
+
 namespace jujubetide {
 
+micros retry_policy::caller_patience(const serving_route& route) {
+    constexpr millis min_patience{2'000};
+    constexpr int targets = 4;
+    constexpr int gaps = 8;
+    return std::max({min_patience, targets * route.target, gaps * route.max_event_gap});
+}
+
 bool retry_policy::can_rerun(const serving_route& route) {
     return route.kind == call_kind::idempotent ||
            (route.kind == call_kind::streaming && route.is_resumable);
--- a/tests/serving/retry_policy_test.cc
+++ b/tests/serving/retry_policy_test.cc
@@ -71,3 +71,14 @@
         CHECK((step == next_step::forward_error) == (outcome == attempt_outcome::error_answer));
     }
 }
+
+TEST_CASE("callers wait for an event for two seconds, four targets or eight gaps") {
+    serving_route route = route_of(call_kind::streaming, true, 2);
+    route.target = millis{300};
+    route.max_event_gap = millis{200};
+    CHECK(retry_policy::caller_patience(route) == millis{2'000});
+    route.target = millis{1'200};
+    CHECK(retry_policy::caller_patience(route) == millis{4'800});
+    route.max_event_gap = millis{700};
+    CHECK(retry_policy::caller_patience(route) == millis{5'600});
+}
