A caller that does not read is not taken for a silent server

Callers saw: a resumable stream whose caller stops reading for some seconds is moved to another server, which works on it again, at the cost of a retry of the service's budget.

Cause: the node stops reading from the server while the caller's connection is backed up, and counts its own pause as the server's silence (the same class as the cut streams of silent servers).

Change: a stream is not judged while its caller is backed up, and its silence begins anew when the connection has drained.

--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -413,7 +413,7 @@
 }
 
 void proxied_call::check_for_stall() {
-    if (!call_) {
+    if (!call_ || request_.exchange->is_backed_up()) {
         return;
     }
     const micros expected = attempt_has_events_ ? micros{0} : choice_.first_event * 2;
@@ -941,6 +941,7 @@
 
 void proxied_call::do_drained() {
     if (call_) {
+        last_event_at_ = state_.time.now(); // The server had to wait for the caller until now.
         call_->resume();
     }
 }
--- a/tests/node/node_streams_test.cc
+++ b/tests/node/node_streams_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+
 using namespace jujubetide;
 
 namespace {
@@ -234,3 +236,42 @@
     CHECK_FALSE(events.whole);
     CHECK(run_until(fixture.loop, [&] { return server.calls()[0]->caller_gone; }));
 }
+
+TEST_CASE("a stream is not moved away from its server while its caller does not read") {
+    node_fixture fixture;
+    // Callers abandon these streams after two seconds without an event.
+    const nlohmann::json short_patience = {
+        {"timeoutMs", 12'000}, {"targetLatencyMs", 100}, {"targetGapMs", 50}};
+    fixture.start({{"resumed", short_patience}});
+    constexpr int last_event = 512;
+    const std::string padding(std::size_t{32} << 10U, 'x');
+    std::map<scripted_call*, int> sent;
+    const auto script = [&sent](scripted_call& call) {
+        begin_events(call);
+        const auto last = call.head.headers.find("Last-Event-Id");
+        sent[&call] = last ? std::stoi(std::string(*last)) : 0;
+    };
+    scripted_server& one = fixture.add_server("i-1", "model", script);
+    scripted_server& other = fixture.add_server("i-2", "model", script);
+    const auto sending = fixture.loop.every(millis{1}, millis{1}, [&] {
+        for (auto& [call, id] : sent) {
+            if (id >= last_event || call->caller_gone || call->exchange->is_backed_up()) {
+                continue;
+            }
+            call->exchange->write("id: " + std::to_string(++id) + "\ndata: " + padding + "\n\n");
+            if (id == last_event) {
+                call->exchange->finish();
+            }
+        }
+    });
+    recorded_call got;
+    const auto running = fixture.send("/resumed/", got);
+    REQUIRE(run_until(fixture.loop, [&] { return !got.body.empty(); }));
+    running->pause();
+    run_for(fixture.loop, millis{2'500});
+    running->resume();
+    run_until(fixture.loop, [&] { return got.over(); });
+    CHECK(got.whole);
+    CHECK(got.body.size() > last_event * padding.size());
+    CHECK(one.calls().size() + other.calls().size() == 1);
+}
