--- a/tests/tools/run_tests_test.py
+++ b/tests/tools/run_tests_test.py
@@ -1,4 +1,4 @@
-"""Tests of tools/run_tests and tools/known_red with planted tests."""
+"""Tests of tools/run_tests, tools/known_red and tools/recheck_known_red with planted tests."""
 import pathlib
 import platform
 import shutil
@@ -15,7 +15,7 @@
         self.addCleanup(scratch.cleanup)
         self.folder = pathlib.Path(scratch.name)
         (self.folder / "tools").mkdir()
-        for name in "run_tests", "known_red":
+        for name in "run_tests", "known_red", "recheck_known_red":
             shutil.copy(ROOT / "tools" / name, self.folder / "tools")
 
     def run_tests(self, sanitizer, entry, failing="part:planted"):
@@ -69,6 +69,15 @@
         run, _ = self.run_tests("", "test: part:listed\n\ntest: part:planted\nbuild: plain\n")
         self.assertEqual(run.returncode, 1, run.stdout)
 
+    def test_listed_test_that_no_longer_fails_is_reported(self):
+        entry = "test: part:sound\ntest: part:planted (a.b)\ntest: part:gone\nbuild: plain\n"
+        self.run_tests("", entry, failing="part:planted (a.b)")
+        run = subprocess.run([self.folder / "tools" / "recheck_known_red", "build", "20"],
+                             stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, check=True)
+        self.assertEqual(run.stdout.splitlines(),
+                         ["passed 20 of 20 runs: part:sound", "failed again: part:planted (a.b)",
+                          "not in this build: part:gone"])
+
 
 if __name__ == "__main__":
     unittest.main()
