A stream leaves a silent server only if another address can take it

Cause: the address of the running attempt was not among those that the call has reached until the attempt had ended, so that a silent server could be left for another id at its own address, which is then not chosen. Change: an address counts as reached from the send on; a connection that was not made takes it out again.

--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -323,6 +323,7 @@
     event_splitter_.discard_incomplete();
     response_memory_.force(0);
     tried_servers_.push_back(server_.id);
+    reached_addresses_.push_back(server_.address);
     sent_at_ = state_.time.now();
     last_event_at_ = sent_at_;
 
@@ -791,12 +792,10 @@
     end_attempt();
     event_splitter_.discard_incomplete();
     response_memory_.force(response_body_.size());
-    if (outcome != attempt_outcome::not_sent) {
-        reached_addresses_.push_back(server_.address);
-    }
     switch (outcome) {
     case attempt_outcome::not_sent:
         ++progress_.undelivered_sends;
+        reached_addresses_.pop_back();
         break;
     case attempt_outcome::wrong_server:
         ++progress_.undelivered_sends;
