--- a/tests/node/node_process.cc
+++ b/tests/node/node_process.cc
@@ -18,19 +18,19 @@
 constexpr std::uint16_t readiness_port = 8224;
 constexpr std::uint16_t peer_port = 7600;
 
-/// An address of the loopback network that no test process uses at the same time.
-std::string address_of(int index) {
+} // namespace
+
+std::string process_address(int index) {
     constexpr int values = 250;
     const int pid = ::getpid();
     return "127." + std::to_string(1 + pid % values) + "." +
            std::to_string(1 + pid / values % values) + "." + std::to_string(index);
 }
 
-} // namespace
-
 node_process::node_process(std::filesystem::path folder, int index, const endpoint& store,
-                           const std::optional<endpoint>& cloud, int memory_mb)
-    : folder_(std::move(folder)), name_("n" + std::to_string(index)), address_(address_of(index)) {
+                           const std::optional<endpoint>& cloud, int memory_mb, std::string zone)
+    : folder_(std::move(folder)), name_("n" + std::to_string(index)),
+      address_(process_address(index)), zone_(std::move(zone)) {
     write_settings(store, cloud, memory_mb);
 }
 
@@ -63,7 +63,7 @@
                                            "\"\nduties = [\"usage_report\", \"autoscale\"]\n"
                                      : "";
     std::ofstream(file(".toml")) << "nodeName = \"" << name_ << "\"\nip = \"" << address_
-                                 << "\"\nzone = \"z1\"\nregion = \"r1\"\n"
+                                 << "\"\nzone = \"" << zone_ << "\"\nregion = \"r1\"\n"
                                  << "internalPorts = [7600, 7615]\n[listen]\nfront = \""
                                  << caller_endpoint().str() << "\"\nready = \""
                                  << readiness_endpoint().str() << "\"\ndirectory = \"" << address_
@@ -94,6 +94,9 @@
     std::string program = (self.parent_path().parent_path() / "bin" / "jujubetide-node").string();
     std::string settings = "JUJUBETIDE_BOOT=" + file(".toml").string();
     std::vector<char*> environment{settings.data()};
+    for (std::string& variable : environment_) {
+        environment.push_back(variable.data());
+    }
     for (char** variable = environ; *variable != nullptr; ++variable) {
         environment.push_back(*variable);
     }
