--- a/src/node/skipped_answers.h
+++ b/src/node/skipped_answers.h
@@ -9,8 +9,8 @@
 namespace jujubetide {
 
 /// Logs and counts that an answer to another attempt was skipped while `server` owed the one to
-/// `attempt_id`.
-void log_skipped_answer(serving_state& state, const std::string& attempt_id,
+/// `attempt`.
+void log_skipped_answer(serving_state& state, const std::string& attempt,
                         const backend_server_id& server, const response_fields& fields,
                         const response_head& head);
 
--- a/tests/node/promise_checker.cc
+++ b/tests/node/promise_checker.cc
@@ -67,8 +67,8 @@
     }
 }
 
-std::string promise_checker::history_of(const std::string& attempt) const {
-    const auto found = attempts_.find(attempt);
+std::string promise_checker::history_of(const std::string& id) const {
+    const auto found = attempts_.find(id);
     std::string text;
     if (found != attempts_.end()) {
         for (const std::string& line : found->second.history) {
--- a/tests/node/promise_checker.h
+++ b/tests/node/promise_checker.h
@@ -21,7 +21,7 @@
     /// Answers that a caller can tell to be another's, not whole, or not asked for.
     [[nodiscard]] const std::vector<std::string>& mixed() const { return mixed_; }
     /// All that was reported about an attempt.
-    [[nodiscard]] std::string history_of(const std::string& attempt) const;
+    [[nodiscard]] std::string history_of(const std::string& id) const;
     /// Final answers by status, 0 for connections that ended.
     [[nodiscard]] const std::map<int, int>& answers() const { return answers_; }
     /// Lines of each kind.
--- a/tests/node/stale_registrations_test.cc
+++ b/tests/node/stale_registrations_test.cc
@@ -47,17 +47,17 @@
     static constexpr millis run_time{40};
 
     void serve(scripted_call& call) {
-        header_list headers;
-        headers.add("X-Attempt-Id",
+        header_list fields;
+        fields.add("X-Attempt-Id",
                     std::string(call.head.headers.find("X-Attempt-Id").value_or("")));
         if (call.head.headers.find("X-Expect-Instance") == "gone") {
             ++denied_;
-            call.exchange->respond(421, headers, "");
+            call.exchange->respond(421, fields, "");
             return;
         }
-        headers.add("X-Upstream-Signature", "s");
-        timers_.push_back(loop.once(run_time, [exchange = call.exchange, headers] {
-            exchange->begin(200, headers, body_framing::chunked, 0);
+        fields.add("X-Upstream-Signature", "s");
+        timers_.push_back(loop.once(run_time, [exchange = call.exchange, fields] {
+            exchange->begin(200, fields, body_framing::chunked, 0);
             exchange->write("id: 1\ndata: x\n\n");
             exchange->finish();
         }));
