REFUSED, LOST: what a server sent before a call is no part of its response

What callers saw: 503 for a request that ran, on a kept connection of a node that had been suspended; also a failed call where the server had closed the connection before. Cause: after a suspension the node reads its callers first and takes an idle connection on which bytes, or the end, have arrived unread. The bytes are then read as the beginning of the call's response. Change: an idle connection with unread input is closed and another one used.

--- a/include/jujubetide/net/tcp_connection.h
+++ b/include/jujubetide/net/tcp_connection.h
@@ -70,6 +70,9 @@
     void finish_sending() { do_finish_sending(); }
     /// Whether bytes of the peer have arrived that were not reported yet.
     [[nodiscard]] bool has_unread_bytes() const { return do_has_unread_bytes(); }
+    /// Whether bytes of the peer, or the end of the connection, have arrived that were not reported
+    /// yet.
+    [[nodiscard]] bool has_unread_input() const { return do_has_unread_input(); }
     void pause_reading() { do_set_reading(false); }
     void resume_reading() { do_set_reading(true); }
     /// Sends the unsent bytes, then closes. No further events.
@@ -86,6 +89,7 @@
     [[nodiscard]] virtual std::size_t do_unsent_bytes() const = 0;
     [[nodiscard]] virtual bool do_is_backed_up() const = 0;
     [[nodiscard]] virtual bool do_has_unread_bytes() const = 0;
+    [[nodiscard]] virtual bool do_has_unread_input() const = 0;
     virtual void do_set_reading(bool enabled) = 0;
     virtual void do_close(bool reset) = 0;
     [[nodiscard]] virtual bool do_is_open() const = 0;
--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -236,7 +236,9 @@
 }
 
 bool pooled_connection::is_usable(time_point now, micros max_idle) const {
-    return state_ == state::idle && now - idle_since_ < std::min(max_idle, max_idle_);
+    // What has arrived already cannot belong to the next call, though it has not been read yet.
+    return state_ == state::idle && now - idle_since_ < std::min(max_idle, max_idle_) &&
+           !connection_->has_unread_input();
 }
 
 bool pooled_connection::has_carried(const std::string& correlation_id) const {
--- a/src/net/uv_tcp_connection.cc
+++ b/src/net/uv_tcp_connection.cc
@@ -4,6 +4,7 @@
 
 #include "jujubetide/base/memory_share.h"
 
+#include <cerrno>
 #include <cstring>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -146,6 +147,10 @@
     return open_ && peek_byte() > 0;
 }
 
+bool uv_tcp_connection::do_has_unread_input() const {
+    return !open_ || peek_byte() >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 ssize_t uv_tcp_connection::peek_byte() const {
     uv_os_fd_t fd = -1;
     char byte = 0;
--- a/src/net/uv_tcp_connection.h
+++ b/src/net/uv_tcp_connection.h
@@ -29,6 +29,7 @@
     [[nodiscard]] std::size_t do_unsent_bytes() const override;
     [[nodiscard]] bool do_is_backed_up() const override { return is_backed_up_; }
     [[nodiscard]] bool do_has_unread_bytes() const override;
+    [[nodiscard]] bool do_has_unread_input() const override;
     void do_set_reading(bool enabled) override;
     void do_close(bool reset) override;
     [[nodiscard]] bool do_is_open() const override { return open_; }
--- a/tests/http1/http1_client_test.cc
+++ b/tests/http1/http1_client_test.cc
@@ -95,6 +95,42 @@
     CHECK(fixture.client.open_connections(server.address()) == 2);
 }
 
+TEST_CASE("what a server sent before a call is no part of its response") {
+    const bool closes = GENERATE(false, true);
+    client_fixture fixture;
+    std::atomic<bool> may_send{false};
+    std::atomic<bool> has_sent{false};
+    std::atomic<bool> may_end{false};
+    const auto wait_for = [](const std::atomic<bool>& flag) {
+        while (!flag) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    };
+    blocking_peer peer([&](int socket) {
+        read_until(socket, "\r\n\r\n");
+        send_all(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        wait_for(may_send);
+        if (closes) {
+            ::shutdown(socket, SHUT_RDWR);
+        } else {
+            send_all(socket, "HTTP/1.1 421 Misdirected");
+        }
+        has_sent = true;
+        wait_for(may_end);
+    });
+    recorded_call first;
+    fixture.call(peer.address(), first);
+    CHECK(first.whole);
+    may_send = true;
+    wait_for(has_sent);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20)); // Not read: the loop stands still.
+    recorded_call second;
+    const auto running = fixture.client.call(peer.address(), serialize_request("GET", "/", {}, ""),
+                                             call_options(), second);
+    CHECK(fixture.client.connections_opened() == 2);
+    may_end = true;
+}
+
 TEST_CASE("a connection does not remember the ids of its calls without bound") {
     client_fixture fixture;
     scripted_server server(fixture.loop, fixture.time,
--- a/tests/node/repeated_refusals_test.cc
+++ b/tests/node/repeated_refusals_test.cc
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <unistd.h>
 
 using namespace jujubetide;
@@ -322,3 +323,83 @@
     CHECK(soak.broken_promises().empty());
     CHECK(soak.answers()[200] > 0);
 }
+
+namespace {
+
+/// A node program before one server, which has served a call on a connection that is kept.
+class suspended_program {
+public:
+    suspended_program() {
+        std::filesystem::create_directories(folder_);
+        store_.put("op", "config", config_of_test(1, nlohmann::json::object()));
+        store_.put("servers", "i-1", registration_of_test("plain", server_.address()));
+        node_.emplace(folder_, 1, store_server_.address());
+        node_->start();
+        constexpr int most = 500;
+        for (int i = 0; i < most && server_.runs("first") == 0; ++i) {
+            (void)finish(*send("first"));
+            run_for(loop_, millis{20});
+        }
+        REQUIRE(server_.runs("first") == 1);
+    }
+    ~suspended_program() {
+        node_.reset();
+        std::error_code ignored; // A log that cannot be removed harms no later run.
+        std::filesystem::remove_all(folder_, ignored);
+    }
+    suspended_program(const suspended_program&) = delete;
+    suspended_program& operator=(const suspended_program&) = delete;
+
+    /// The status of a call that the node reads after a suspension, in which the server has written
+    /// `bytes` that belong to no call.
+    int call_after(const std::string& id, const std::string& bytes) {
+        node_->signal(SIGSTOP);
+        run_for(loop_, millis{20});
+        const std::unique_ptr<sent_call> sent = send(id);
+        run_for(loop_, millis{50});
+        server_.write_unasked(bytes);
+        run_for(loop_, millis{50});
+        node_->signal(SIGCONT);
+        return finish(*sent);
+    }
+    [[nodiscard]] int runs(const std::string& id) const { return server_.runs(id); }
+
+private:
+    struct sent_call {
+        recorded_call events;
+        std::unique_ptr<http1_call> call;
+    };
+
+    std::unique_ptr<sent_call> send(const std::string& id) {
+        auto sent = std::make_unique<sent_call>();
+        sent->call =
+            client_.call(node_->caller_endpoint(), named_request(id, "/once/"), {}, sent->events);
+        return sent;
+    }
+    int finish(const sent_call& sent) {
+        run_until(loop_, [&sent] { return sent.events.over(); });
+        return sent.events.whole ? sent.events.head.status : 0;
+    }
+
+    event_loop loop_;
+    boot_clock time_;
+    std::filesystem::path folder_ = std::filesystem::temp_directory_path() /
+                                    ("jujubetide-suspended-" + std::to_string(::getpid()));
+    fake_row_store store_{loop_};
+    row_store_server store_server_{loop_, time_, store_};
+    http1_client client_{loop_, time_};
+    repeating_server server_{loop_};
+    std::optional<node_process> node_;
+};
+
+} // namespace
+
+TEST_CASE("bytes that came before a node program's request are no part of its answer") {
+    for (const std::string bytes :
+         {"HTTP/1.1 421 Misdirected", "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1"}) {
+        suspended_program program;
+        const int status = program.call_after("id-1", bytes);
+        INFO(bytes << ": status " << status << ", runs " << program.runs("id-1"));
+        CHECK_FALSE((promises_not_run(status) && program.runs("id-1") > 0));
+    }
+}
--- a/tests/support/repeating_server.h
+++ b/tests/support/repeating_server.h
@@ -53,6 +53,14 @@
     void write_before_next(std::string bytes) { before_next_ = std::move(bytes); }
     /// Connections that were accepted so far.
     [[nodiscard]] std::size_t connections() const { return sessions_.size(); }
+    /// Writes bytes that belong to no request on the connections that wait for one.
+    void write_unasked(const std::string& bytes) {
+        for (const auto& on : sessions_) {
+            if (on->is_open && !on->is_running) {
+                on->connection->write(bytes);
+            }
+        }
+    }
     [[nodiscard]] int runs(const std::string& attempt) const {
         const auto found = runs_.find(attempt);
         return found == runs_.end() ? 0 : found->second;
@@ -90,6 +98,7 @@
         std::shared_ptr<tcp_connection> connection;
         message_parser parser;
         bool is_open = true;
+        bool is_running = false;
         bool has_served = false;
         request_head head;
         std::string refusal;
@@ -128,7 +137,9 @@
         }
         on.answer = "HTTP/1.1 " + std::to_string(status_) + " Status\r\n" + id_field(on) +
                     "X-Upstream-Signature: s\r\n" + make_answer_(on.head, run);
+        on.is_running = true;
         on.timer = loop_.once(run_time_, [&on] {
+            on.is_running = false;
             if (on.is_open) {
                 on.connection->write(on.answer);
             }
