A server's answer does not tell a peer what became of an attempt

What callers could see: a call that runs sent again, if a server's answer bears the field that nodes use among themselves (Jujubetide-Forward-Result). Not seen; found by reading. Cause: a peer that passes an attempt on appended its own field behind the server's, and the sender reads the first one. Change: the server's field is dropped. Result: node_test 'a server's answer does not tell*': before red, after green.

--- a/src/node/call_forwarder.cc
+++ b/src/node/call_forwarder.cc
@@ -68,7 +68,7 @@
         }
         apply_leaving_notice(state_, server_, fields);
         framing_ = head.framing;
-        header_list headers = state_.codec.caller_headers(head);
+        header_list headers = without_result(state_.codec.caller_headers(head));
         add_result(headers, forward_result::answered);
         const body_framing own_framing =
             framing_ == body_framing::until_close ? body_framing::chunked : framing_;
--- a/tests/node/call_forwarder_test.cc
+++ b/tests/node/call_forwarder_test.cc
@@ -47,6 +47,16 @@
 
 } // namespace
 
+TEST_CASE("a server's answer does not tell the peer that nothing was sent") {
+    forwarder_fixture fixture;
+    ending_server server(fixture.loop);
+    fixture.add_server(server.address());
+    server.answer_with(own_head + "Jujubetide-Forward-Result: not_sent\r\n"
+                                  "Content-Length: 6\r\n\r\nanswer",
+                       ending::closed);
+    CHECK(is_complete_answer(fixture.forward()));
+}
+
 TEST_CASE("an answer that is truncated behind a forwarding peer does not look complete") {
     struct shape {
         std::string head;
