--- a/tests/node/stale_registrations_test.cc
+++ b/tests/node/stale_registrations_test.cc
@@ -49,7 +49,7 @@
     void serve(scripted_call& call) {
         header_list fields;
         fields.add("X-Attempt-Id",
-                    std::string(call.head.headers.find("X-Attempt-Id").value_or("")));
+                   std::string(call.head.headers.find("X-Attempt-Id").value_or("")));
         if (call.head.headers.find("X-Expect-Instance") == "gone") {
             ++denied_;
             call.exchange->respond(421, fields, "");
