TWICE, ORDER: a success that says that it was not run is not believed

What callers could see: a stream that may not be resumed goes on with the events of a second run; a plain call that may run once runs at two servers and is then refused. Found in a review; that a server of the users does so is not known. Cause: a 2xx with the field of a refusal contradicts itself. Its events were forwarded, and at its end it counted as not run. Evidence: two servers that run and answer 200 with the field: two runs of either kind of call, 503 for the plain one. Change: such an answer counts as one that may have run, before anything of it is passed on.

--- a/src/node/proxied_call.cc
+++ b/src/node/proxied_call.cc
@@ -512,8 +512,9 @@
         on_attempt_failed(attempt_outcome::error_answer);
         return true;
     }
-    if (success &&
-        (!is_for_this_call || !response_fields_.is_signed || response_fields_.is_encoded)) {
+    // A success that says that it was not run contradicts itself.
+    if (success && (response_fields_.not_run || !is_for_this_call || !response_fields_.is_signed ||
+                    response_fields_.is_encoded)) {
         on_attempt_failed(attempt_outcome::broken);
         return true;
     }
--- a/tests/node/repeated_refusals_test.cc
+++ b/tests/node/repeated_refusals_test.cc
@@ -403,3 +403,24 @@
         CHECK_FALSE((promises_not_run(status) && program.runs("id-1") > 0));
     }
 }
+
+TEST_CASE("a success that denies that it has run is not refused and goes to no second server") {
+    const std::string path = GENERATE("/once/", "/stream/");
+    const nlohmann::json twice = {{"maxAttempts", 2}};
+    refusals_fixture fixture({{"once", twice}, {"stream", twice}});
+    const bool is_plain = path == "/once/";
+    const std::string events = serialize_chunk("id: 1\ndata: x\n\n") + std::string(last_chunk);
+    const std::string answer =
+        is_plain ? "Content-Length: 2\r\n\r\nok" : "Transfer-Encoding: chunked\r\n\r\n" + events;
+    int runs = 0;
+    for (const char* id : {"i-1", "i-2"}) {
+        fixture.add(id, is_plain ? "plain" : "model").answer_with([&](const request_head&, int) {
+            ++runs;
+            return "X-Not-Executed: 1\r\n" + answer;
+        });
+    }
+    const recorded_call got = fixture.call_as("id-1", path);
+    INFO(path << ": status " << got.head.status << ", body " << got.body);
+    CHECK(runs == 1);
+    CHECK_FALSE((got.whole && promises_not_run(got.head.status)));
+}
