--- a/src/http1/http1_client.cc
+++ b/src/http1/http1_client.cc
@@ -19,7 +19,7 @@
 /// Idle connections retained for one server.
 constexpr std::size_t max_idle_per_server = 32;
 /// Call ids that a connection remembers before it is closed.
-constexpr std::size_t max_ids_per_connection = 1'000;
+constexpr std::size_t max_ids_per_connection = 896;
 /// Bytes that a call accepts before its own response: interim and late responses.
 constexpr std::size_t max_bytes_before_response = std::size_t{1} << 20U;
 /// Bytes of head and chunk framing that a response may have beyond the size of its body.
