--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -25,6 +25,7 @@
 KEY = "key-of-tenant-1"
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
           "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+LONGEST_RUN_S = 110
 FRONT, READY, CONTROL, DIRECTORY, PEER, METRICS = 8221, 8224, 8229, 8220, 7600, 9464
 
 CONFIG = {
@@ -292,12 +293,15 @@
         self.sequence = 0
         self.runs = 0
         self.attempts = set()
+        # As the sheet of the site has them.
+        self.slots, self.queue = (64, 134) if events else (6, 24)
+        self.running, self.waiting = 0, []
 
     def registration(self, zone):
         self.sequence += 1
         return json.dumps({
             "service": self.service, "address": self.address, "zone": zone, "version": "v1",
-            "slots": 64 if self.events else 6, "state": "ready", "coldRemainingMs": 0,
+            "slots": self.slots, "state": "ready", "coldRemainingMs": 0,
             "sequence": self.sequence, "born": self.started_ms}).encode()
 
     def headers(self, request_headers):
@@ -308,9 +312,24 @@
         if headers.get("x-expect-instance", self.name) != self.name:
             writer.write(response(421, {}, self.headers(headers)))
             return True
+        if self.running >= self.slots:
+            if len(self.waiting) >= self.queue:
+                writer.write(response(503, {}, dict(self.headers(headers), **{"X-Not-Executed": 1})))
+                return True
+            turn = asyncio.get_running_loop().create_future()
+            self.waiting.append(turn)
+            await turn  # The place of the run that ended is this one's.
+        else:
+            self.running += 1
         self.runs += 1
         self.attempts.add(headers.get("x-attempt-id"))
-        return await self.answer(writer, headers)
+        try:
+            return await self.answer(writer, headers)
+        finally:
+            if self.waiting:
+                self.waiting.pop(0).set_result(None)
+            else:
+                self.running -= 1
 
     async def answer(self, writer, headers):
         await asyncio.sleep(self.work_s)
@@ -628,7 +647,7 @@
             asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             deployment.record("disruption:", "yes" if trouble() else "no (TROUBLE=0)")
-            verdict = await case(deployment)
+            verdict = await asyncio.wait_for(case(deployment), LONGEST_RUN_S)
             deployment.say("verdict:", {0: "held", 1: "broken"}[verdict])
             return verdict
         except (Exception, asyncio.CancelledError) as why:  # A fault of the case itself.
