--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,15 +1,15 @@
 #!/bin/sh
-# Requests inside all limits whose prompts have many parts: does a process exceed its memory?
+# Prompts of many parts, one of which crashes engines: do other callers still get answers?
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves out the
 # disruption.
 cd "$(dirname "$0")/../.." || exit 2
-for program in target/bin/jujubetide-node target/review-3/many_prompt_parts; do
+for program in target/bin/jujubetide-node target/review-3/crashing_prompts; do
     if [ ! -x "$program" ]; then
         echo "$program is missing: run the build of deploy/system.toml and review/build-3.sh" >&2
         exit 2
     fi
 done
-timeout -k 2 118 target/review-3/many_prompt_parts review/11/record.txt
+timeout -k 2 118 target/review-3/crashing_prompts review/11/record.txt
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,15 +1,15 @@
 #!/bin/sh
-# One short burst of pipelined requests: does a process exceed its memory?
+# A drill of the store while all processes are killed: is a window reported twice?
 # Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves out the
 # disruption.
 cd "$(dirname "$0")/../.." || exit 2
-for program in target/bin/jujubetide-node target/review-3/pipelined_callers; do
+for program in target/bin/jujubetide-node target/review-3/restored_usage; do
     if [ ! -x "$program" ]; then
         echo "$program is missing: run the build of deploy/system.toml and review/build-3.sh" >&2
         exit 2
     fi
 done
-timeout -k 2 118 target/review-3/pipelined_callers review/12/record.txt burst
+timeout -k 2 118 target/review-3/restored_usage review/12/record.txt
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 11 to 15 into target/review-3. They need a C++20 compiler and
+# Builds the stand-ins of the cases from 11 on into target/review-3. They need a C++20 compiler and
 # nlohmann-json3-dev, which the build of the deploy file needs too.
 set -eu
 cd "$(dirname "$0")/.."
--- a/review/standins-3/platform.h
+++ b/review/standins-3/platform.h
@@ -70,6 +70,14 @@
         set(table, key, value.dump());
         changed_.notify_all();
     }
+    void remove(const std::string& table, const std::string& key) {
+        const std::lock_guard lock(mutex_);
+        ++version_;
+        if (tables_[table].erase(key) > 0) {
+            changes_.push_back({table, key, {"", version_, true}});
+        }
+        changed_.notify_all();
+    }
     /// Refuses all calls, and cuts those that wait.
     void set_away(bool away) {
         const std::lock_guard lock(mutex_);
