--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -9,7 +9,10 @@
         exit 2
     fi
 done
-timeout -k 2 118 target/review-3/restored_usage review/12/record.txt
+timeout -k 2 118 target/review-3/restored_usage review/12/record.txt &
+child=$!
+trap 'kill "$child"; wait "$child"; exit 2' INT TERM
+wait "$child"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standins-3/crashing_prompts.cc
+++ b/review/standins-3/crashing_prompts.cc
@@ -102,10 +102,12 @@
         one.pid = ::fork();
         if (one.pid == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+            unblock_signals();
             ::execl(program_, program_, "engine", at.ip.c_str(), port.c_str(), id, log.c_str(),
                     nullptr);
             ::_exit(127);
         }
+        children().add(one.pid);
         one.written = {};
     }
     address address_of(int index) const { return place_.at(111 + index, 8422); }
--- a/review/standins-3/nodes.h
+++ b/review/standins-3/nodes.h
@@ -16,6 +16,41 @@
 
 namespace standin {
 
+/// Lets a new process take signals again, which `place` blocks for this one.
+inline void unblock_signals() {
+    sigset_t none;
+    sigemptyset(&none);
+    ::sigprocmask(SIG_SETMASK, &none, nullptr);
+}
+
+/// The processes that this run has started.
+class child_list {
+public:
+    void add(pid_t pid) {
+        const std::lock_guard lock(mutex_);
+        pids_.push_back(pid);
+    }
+    /// Kills those that have not been waited for.
+    void kill_all() {
+        const std::lock_guard lock(mutex_);
+        for (const pid_t pid : pids_) {
+            if (::waitpid(pid, nullptr, WNOHANG) == 0) {
+                ::kill(pid, SIGKILL);
+                ::waitpid(pid, nullptr, 0);
+            }
+        }
+    }
+
+private:
+    std::mutex mutex_;
+    std::vector<pid_t> pids_;
+};
+
+inline child_list& children() {
+    static child_list& list = *new child_list;
+    return list;
+}
+
 /// A part of the loopback network that no other run uses, and a folder for settings and logs.
 class place {
 public:
@@ -35,6 +70,7 @@
             throw std::runtime_error("no free addresses or no temporary folder");
         }
         folder_ = name;
+        end_on_signals();
     }
     void remove_folder() const {
         if (std::system(("rm -rf " + folder_).c_str()) != 0) {
@@ -50,6 +86,22 @@
     address cloud() const { return at(202, 8225); }
 
 private:
+    /// Removes the folder and ends the run when it is interrupted; its processes end with it.
+    void end_on_signals() const {
+        sigset_t ends;
+        sigemptyset(&ends);
+        sigaddset(&ends, SIGTERM);
+        sigaddset(&ends, SIGINT);
+        ::sigprocmask(SIG_BLOCK, &ends, nullptr);
+        std::thread([this, ends] {
+            int number = 0;
+            ::sigwait(&ends, &number);
+            children().kill_all();
+            remove_folder();
+            std::_Exit(2);
+        }).detach();
+    }
+
     std::string net_;
     std::string folder_;
 };
@@ -104,6 +156,7 @@
         pid_ = ::fork();
         if (pid_ == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+            unblock_signals();
             const int log = ::open(file(".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             if (::getppid() != parent || log < 0) {
                 ::_exit(126);
@@ -114,6 +167,7 @@
             ::execl("target/bin/jujubetide-node", "target/bin/jujubetide-node", nullptr);
             ::_exit(127);
         }
+        children().add(pid_);
         record_.write("started " + name_);
     }
     void signal(int number) {
