--- a/review/standins-3/servers.h
+++ b/review/standins-3/servers.h
@@ -21,6 +21,11 @@
                 {"coldRemainingMs", 0}, {"sequence", sequence}, {"born", born_}};
     }
     int runs() const { return runs_; }
+    /// The requests that were run.
+    std::vector<message> requests() {
+        const std::lock_guard lock(mutex_);
+        return requests_;
+    }
 
 private:
     void serve(const socket_handle& from) {
@@ -36,6 +41,10 @@
                 continue;
             }
             const int run = ++runs_;
+            {
+                const std::lock_guard lock(mutex_);
+                requests_.push_back(*request);
+            }
             std::this_thread::sleep_for(work_);
             const std::string body = request->method() == "HEAD" ? "" : "answer-" + attempt;
             if (run <= 20) {
@@ -60,6 +69,8 @@
     std::chrono::milliseconds work_;
     record& record_;
     std::atomic<int> runs_{0};
+    std::mutex mutex_;
+    std::vector<message> requests_;
     std::int64_t born_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                              std::chrono::system_clock::now().time_since_epoch())
                              .count();
