A window reported before a restore that kills all nodes is not reported again

Cause: a window without a row is reported if it was never stored. `on_rows` lowered the first window that a node reports to the oldest row that it read. In a restored copy the newest rows are missing, and with all processes gone nobody remembers them, so that the gap between the copy's last row and the node's start counted as 'never stored'.

Change: the first holder of the duties in an era of the store writes a row `history-ERA`, in the transaction that writes lost rows again: the first window from which on each stored window has a row in this era. Earlier windows without a row are not reported. As its key has the era, a row from a copy says nothing. Windows that no one reported are still due after kills without a restore, now also those before the first stored window, and after a restore that the holder outlived. The new event `usage_history_started` (JT7096) tells where the history begins.

--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -76,6 +76,7 @@
 inline constexpr log_event usage_reported{7052, log_severity::info, "usage_reported"};
 inline constexpr log_event usage_not_reported{7053, log_severity::warning, "usage_not_reported"};
 inline constexpr log_event usage_rows_restored{7066, log_severity::info, "usage_rows_restored"};
+inline constexpr log_event usage_history_started{7096, log_severity::info, "usage_history_started"};
 inline constexpr log_event servers_ordered{7054, log_severity::info, "servers_ordered"};
 inline constexpr log_event servers_not_ordered{7055, log_severity::warning, "servers_not_ordered"};
 inline constexpr log_event dead_rows_not_removed{7057, log_severity::warning,
--- a/src/node/usage_reporter.cc
+++ b/src/node/usage_reporter.cc
@@ -22,6 +22,12 @@
 constexpr millis late_call_time{700};
 /// Maximum wait for a live node that has sent nothing since the window's end.
 constexpr millis max_peer_wait{5'000};
+/// A history row's key is this and the era; its value is the first window of the history.
+constexpr const char* history_key_prefix = "history-";
+
+std::string history_key(store_era era) {
+    return absl::StrCat(history_key_prefix, era.value());
+}
 
 std::string encode_counts(const usage_counts& counts) {
     json body = json::object();
@@ -52,7 +58,7 @@
 usage_reporter::usage_reporter(serving_state& state, row_store& store, peer_exchange& peers,
                                duty_lease& lease, platform_api& calls)
     : state_(state), store_(store), peers_(peers), lease_(lease), calls_(calls),
-      first_window_(state.usage.window_at(state.time.wall_now())) {}
+      history_start_(state.usage.window_at(state.time.wall_now())) {}
 
 void usage_reporter::start() {
     timer_ = state_.timers.every(step_period, step_period, [this] { step(); });
@@ -70,13 +76,13 @@
         load();
         return;
     }
-    if (!missing_rows_.empty()) {
+    if (!missing_rows_.empty() || !has_history_row_) {
         restore_rows();
         return;
     }
     const usage_window current = state_.usage.window_at(state_.time.wall_now());
-    for (std::int64_t number = std::max(first_window_.value(), current.value() - max_windows_back);
-         number < current.value(); ++number) {
+    for (std::int64_t number = current.value() - max_windows_back; number < current.value();
+         ++number) {
         const usage_window window(number);
         if (reported_windows_.contains(window)) {
             continue;
@@ -91,6 +97,9 @@
             }
             return;
         }
+        if (window < history_start_) {
+            continue; // It may have been reported.
+        }
         if (is_complete(window)) {
             store_counts(window);
             return;
@@ -112,6 +121,9 @@
 void usage_reporter::on_rows(const row_batch& batch) {
     is_loaded_ = true;
     era_ = batch.era;
+    has_history_row_ = false;
+    history_row_version_ = row_version();
+    old_history_rows_.clear();
     missing_rows_.clear();
     const usage_window current = state_.usage.window_at(state_.time.wall_now());
     for (const auto& [window, counts] : stored_counts_) {
@@ -121,19 +133,35 @@
     }
     for (const stored_row& row : batch.rows) {
         std::int64_t number = 0;
-        const auto counts = decode_counts(row.value);
-        if (!absl::SimpleAtoi(row.key, &number) || !counts.ok()) {
-            continue;
+        if (row.key.starts_with(history_key_prefix)) {
+            on_history_row(row);
+        } else if (const auto counts = decode_counts(row.value);
+                   counts.ok() && absl::SimpleAtoi(row.key, &number)) {
+            on_counts_row(usage_window(number), *counts);
         }
-        const usage_window window(number);
-        missing_rows_.erase(window);
-        // Counts that this node stored itself stand: it may have sent them.
-        stored_counts_.try_emplace(window, *counts);
-        first_window_ = std::min(first_window_, window);
-        state_.usage.settle(window);
     }
 }
 
+void usage_reporter::on_history_row(const stored_row& row) {
+    if (row.key != history_key(*era_)) {
+        old_history_rows_.push_back(row.key);
+        return;
+    }
+    history_row_version_ = row.version;
+    std::int64_t number = 0;
+    if (absl::SimpleAtoi(row.value, &number)) {
+        has_history_row_ = true;
+        history_start_ = std::min(history_start_, usage_window(number));
+    }
+}
+
+void usage_reporter::on_counts_row(usage_window window, const usage_counts& counts) {
+    missing_rows_.erase(window);
+    // Counts that this node stored itself stand: it may have sent them.
+    stored_counts_.try_emplace(window, counts);
+    state_.usage.settle(window);
+}
+
 void usage_reporter::restore_rows() {
     row_transaction transaction;
     for (const usage_window window : missing_rows_) {
@@ -141,18 +169,44 @@
         transaction.expected.push_back({table, key, row_version()});
         transaction.puts.push_back({table, key, encode_counts(stored_counts_.at(window))});
     }
+    const usage_window start = first_window_with_rows();
+    if (!has_history_row_) {
+        const std::string key = history_key(*era_);
+        transaction.expected.push_back({table, key, history_row_version_});
+        transaction.puts.push_back({table, key, absl::StrCat(start.value())});
+        for (const std::string& old : old_history_rows_) {
+            transaction.removals.push_back({table, old});
+        }
+    }
     is_busy_ = true;
-    store_.commit(transaction, [this](const absl::StatusOr<row_version>& done) {
+    store_.commit(transaction, [this, start](const absl::StatusOr<row_version>& done) {
         is_busy_ = false;
         if (!done.ok()) {
             is_loaded_ = false; // The rows may be there.
             return;
         }
-        state_.log.write(usage_rows_restored, {{"rows", absl::StrCat(missing_rows_.size())}});
+        if (!missing_rows_.empty()) {
+            state_.log.write(usage_rows_restored, {{"rows", absl::StrCat(missing_rows_.size())}});
+        }
+        if (!has_history_row_) {
+            state_.log.write(usage_history_started, {{"window", absl::StrCat(start.value())},
+                                                     {"era", absl::StrCat(era_->value())}});
+        }
+        has_history_row_ = true;
         missing_rows_.clear();
     });
 }
 
+usage_window usage_reporter::first_window_with_rows() const {
+    usage_window first = history_start_;
+    for (const usage_window window : state_.usage.settled()) {
+        if (!stored_counts_.contains(window)) {
+            first = std::max(first, usage_window(window.value() + 1));
+        }
+    }
+    return first;
+}
+
 bool usage_reporter::is_lost(usage_window window) {
     if (rechecked_windows_.insert(window).second) {
         is_loaded_ = false; // Stored since the rows were loaded, or lost by a restore.
--- a/tests/node/duties_test.cc
+++ b/tests/node/duties_test.cc
@@ -164,6 +164,21 @@
     return second.lease.is_held();
 }
 
+bool is_reported(const duty_node& node, usage_window window) {
+    return std::any_of(node.calls.reports.begin(), node.calls.reports.end(),
+                       [window](const auto& report) { return report.window == window; });
+}
+
+usage_window current_window(const duty_node& node, const duty_fixture& fixture) {
+    return node.state.usage.window_at(fixture.time.wall_now());
+}
+
+/// The time until the window that is running ends.
+millis window_rest(const duty_node& node, const duty_fixture& fixture) {
+    return std::chrono::duration_cast<millis>(
+        node.state.usage.end_of(current_window(node, fixture)) - fixture.time.wall_now());
+}
+
 } // namespace
 
 TEST_CASE("one of two nodes holds the duties, and the other takes over after it ends") {
@@ -445,3 +460,96 @@
     CHECK(fixture.store.commits == commits);
     CHECK(fixture.store.reads == reads);
 }
+
+// Without the row and without a node that remembers it, the window counted as never reported.
+TEST_CASE("a window reported before a restore in which all nodes end is not reported again") {
+    duty_fixture fixture;
+    auto first = fixture.make("n1", 1);
+    fixture.advance(millis{3'000});
+    // The copy has an older window's row.
+    fixture.advance(window_rest(*first, fixture) + millis{2'000});
+    REQUIRE_FALSE(first->calls.reports.empty());
+    fixture.store.take_copy();
+    const usage_window window = current_window(*first, fixture);
+    first->state.usage.count(customer, fixture.time.wall_now());
+    fixture.advance(window_rest(*first, fixture) + millis{2'000});
+    REQUIRE(is_reported(*first, window));
+    first.reset();
+    fixture.store.restore();
+    const auto second = fixture.make("n2", 2);
+    const usage_window later = current_window(*second, fixture);
+    fixture.advance(millis{20'000});
+    CHECK_FALSE(is_reported(*second, window));
+    CHECK(is_reported(*second, later));
+    CHECK(second->log.count("usage_history_started") == 1);
+}
+
+// A restore must not cost the reports of windows that end after it.
+TEST_CASE("windows that no one reported are reported after all nodes ended") {
+    const bool has_earlier_restore = GENERATE(false, true);
+    duty_fixture fixture;
+    auto first = fixture.make("n1", 1);
+    fixture.advance(millis{3'000});
+    if (has_earlier_restore) {
+        fixture.store.take_copy();
+        fixture.store.restore();
+        fixture.advance(millis{2'000});
+    }
+    const usage_window window = current_window(*first, fixture);
+    fixture.advance(window_rest(*first, fixture));
+    REQUIRE_FALSE(is_reported(*first, window));
+    first.reset();
+    fixture.advance(millis{2'000});
+    const auto second = fixture.make("n2", 2);
+    fixture.advance(millis{15'000});
+    CHECK(is_reported(*second, window));
+}
+
+// The holder knows which windows it did not report; the row it writes says so to its successors.
+TEST_CASE("windows before a restore that the holder outlived are still reported by later nodes") {
+    duty_fixture fixture;
+    auto first = fixture.make("n1", 1);
+    fixture.advance(millis{3'000});
+    fixture.advance(window_rest(*first, fixture));
+    fixture.store.take_copy();
+    const usage_window window = current_window(*first, fixture);
+    fixture.advance(millis{500});
+    fixture.store.restore();
+    fixture.advance(window_rest(*first, fixture));
+    REQUIRE_FALSE(is_reported(*first, window));
+    REQUIRE(first->log.count("usage_history_started") == 2);
+    first.reset();
+    fixture.advance(millis{2'000});
+    const auto second = fixture.make("n2", 2);
+    fixture.advance(millis{15'000});
+    CHECK(is_reported(*second, window));
+}
+
+// Only a living node knew that the window was stored; the history of the new era begins after it.
+TEST_CASE("a window whose counts are lost is not reported by nodes that start later") {
+    duty_fixture fixture;
+    auto first = fixture.make("n1", 1);
+    auto second = fixture.make("n2", 2);
+    fixture.advance(millis{3'100});
+    REQUIRE(first->lease.is_held());
+    fixture.store.take_copy();
+    const usage_window window = current_window(*first, fixture);
+    fixture.advance(window_rest(*first, fixture) + millis{1'500});
+    REQUIRE(is_reported(*first, window));
+    for (const usage_window settled : first->state.usage.settled()) {
+        second->state.usage.settle(settled);
+    }
+    fixture.store.restore();
+    first.reset();
+    for (int i = 0; i < 2'000 && second->log.count("usage_history_started") == 0; ++i) {
+        fixture.advance(millis{5});
+    }
+    REQUIRE(second->log.count("usage_history_started") == 1);
+    second.reset();
+    fixture.advance(millis{1'000});
+    const auto third = fixture.make("n3", 3);
+    const usage_window later = current_window(*third, fixture);
+    fixture.advance(millis{15'000});
+    CHECK_FALSE(is_reported(*third, window));
+    CHECK(is_reported(*third, later));
+}
--- a/tests/node/restored_store_test.cc
+++ b/tests/node/restored_store_test.cc
@@ -1,5 +1,5 @@
 // Node programs whose store comes back from older copies, at random moments.
-// JUJUBETIDE_SOAK_SEED and JUJUBETIDE_SOAK_SECONDS choose another run.
+// JUJUBETIDE_SOAK_SEED, JUJUBETIDE_SOAK_SECONDS and JUJUBETIDE_SOAK_KILLS choose another run.
 #include "node_fixture.h"
 #include "node_process.h"
 #include "support/environment.h"
@@ -34,6 +34,9 @@
         : server_(*http1_server::make(loop, time, {"127.0.0.1", 0}, *this)) {}
     [[nodiscard]] const endpoint& address() const { return server_->address(); }
 
+    /// The number of windows that were reported.
+    [[nodiscard]] std::size_t windows() const { return counts_.size(); }
+
     std::vector<std::string> breaches;
     std::size_t calls = 0;
 
@@ -136,6 +139,23 @@
             run_for(loop_, millis(200 + random_.below(2'500)));
         }
     }
+    /// Kills all nodes at once, each time as the store goes away to come back from a copy that
+    /// lacks the last reported window.
+    void run_with_kills(int kills) {
+        wait_for_reports(2);
+        for (int i = 0; i < kills; ++i) {
+            store_.take_copy();
+            wait_for_reports(1);
+            run_for(loop_, millis(random_.below(600)));
+            for (const auto& node : nodes_) {
+                node->is_stopping = true;
+                node->process.signal(SIGKILL);
+            }
+            stops += node_count;
+            restore();
+            wait_for_reports(2);
+        }
+    }
     /// What nodes still do under an older configuration once the last one must apply.
     std::vector<std::string> nodes_with_older_config() {
         run_for(loop_, config_apply_time);
@@ -206,6 +226,11 @@
                                   made->events);
         calls_.push_back(std::move(made));
     }
+    void wait_for_reports(std::size_t count) {
+        const std::size_t windows = cloud_.windows() + count;
+        REQUIRE(run_until(
+            loop_, [this, windows] { return cloud_.windows() >= windows; }, millis{60'000}));
+    }
     /// Takes in the calls that are over.
     void look_at_calls() {
         if (!has_callers_) {
@@ -341,3 +366,14 @@
     CHECK(run.restores > 0);
     CHECK(run.duties().calls > 0);
 }
+
+// The copy has no row of the last reported window, and no node is left that remembers it.
+TEST_CASE("node programs that are all killed in a restore report no window with other counts") {
+    restore_run run(number_from_environment("JUJUBETIDE_SOAK_SEED", 2));
+    run.run_with_kills(static_cast<int>(number_from_environment("JUJUBETIDE_SOAK_KILLS", 1)));
+    INFO("duties: " << joined(run.duties().breaches));
+    CHECK(run.duties().breaches.empty());
+    INFO("failed calls: " << joined(run.failed_calls));
+    CHECK(run.failed_calls.empty());
+    CHECK(run.restores > 0);
+}
