Long prompts with a part that crashes engines no longer hold up a node

Cause: `blocking_parts` went through the whole quarantine for each quarantined part of a call, to find a part outside the call that was at the same crashes: 2,541 times 2,541 comparisons of sets of crashes.

Change: `crash_groups` keeps the quarantined parts by the set of server runs that crashed under them. Members of a group cannot be told apart, so a call's parts are counted by group, and only groups are compared, each with at most 128 that have more crashes. The time of a call grows with its parts and the number of groups. `crash_watch` no longer copies the quarantine for each answer and heartbeat to find out what changed. The limit on parts is the same.

--- a/include/jujubetide/serving/prompt_quarantine.h
+++ b/include/jujubetide/serving/prompt_quarantine.h
@@ -3,7 +3,9 @@
 #include "jujubetide/base/ids.h"
 #include "jujubetide/base/random_source.h"
 #include "jujubetide/base/units.h"
+#include "jujubetide/serving/crash_groups.h"
 #include "jujubetide/serving/prefix_cache_tracker.h"
+#include "jujubetide/serving/server_run_id.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -17,8 +19,6 @@
 
 /// Identifies a prompt part over all calls.
 using prompt_part_id = strong_id<struct prompt_part_tag>;
-/// Identifies one run of a backend server's process: a restart is another run.
-using server_run_id = strong_id<struct server_run_tag>;
 
 /// What may be the cause when a server crashes under a call: each part of its prompt but the last,
 /// which no other call has, and the content of the call as a whole, which its caller may send
@@ -37,6 +37,8 @@
     static bool is_content(const prompt_part_id& id);
 
 private:
+    void add_parts(std::span<const prompt_part> parts);
+
     std::set<prompt_part_id> ids_;
 };
 
@@ -52,6 +54,12 @@
     std::vector<crash> crashes;
 };
 
+/// Parts that entered and left the quarantine.
+struct quarantine_changes {
+    std::vector<prompt_part_id> added;
+    std::vector<prompt_part_id> removed;
+};
+
 /// Finds prompt parts, and contents of calls, that crash the servers that begin to answer them, and
 /// blocks calls with them. What is said of parts holds for contents, but that answered contents are
 /// remembered only if servers crashed under them, and that their trials are fewer.
@@ -106,6 +114,8 @@
     void expire(time_point now);
 
     [[nodiscard]] const std::set<prompt_part_id>& quarantined() const { return quarantined_; }
+    /// What changed in the quarantine since the last call.
+    [[nodiscard]] quarantine_changes take_changes();
     /// Separate crashes under a part since it was last answered.
     [[nodiscard]] std::size_t separate_crashes(const prompt_part_id& part) const;
 
@@ -118,7 +128,9 @@
     struct record {
         std::optional<time_point> answered_at;
         /// Crashes since the last answer.
-        std::map<server_run_id, time_point> crashes;
+        crash_groups::crash_times crashes;
+        /// Set if the part is quarantined.
+        const crash_groups::group* group = nullptr;
         /// Peers are told until then, unless the part is quarantined.
         time_point reported_until{};
         time_point next_trial{};
@@ -128,16 +140,22 @@
 
     static std::size_t count_separate(const record& of);
     static bool is_guilty(const record& of);
-    void update_quarantine(const prompt_part_id& part);
+    void update_quarantine(const prompt_part_id& part, record& of);
+    void add_to_quarantine(const prompt_part_id& part, record& of);
+    void remove_from_quarantine(const prompt_part_id& part, record& of);
     record& insert(const prompt_part_id& part, time_point now);
-    /// The parts of a prompt that block a call with it.
-    [[nodiscard]] std::vector<prompt_part_id> blocking_parts(const crash_suspects& suspects) const;
+    /// The parts of a prompt that block a call with it. They belong to `suspects`.
+    [[nodiscard]] std::vector<const prompt_part_id*>
+    blocking_parts(const crash_suspects& suspects) const;
     /// Appends the contents with recent changes, those with most crashes first.
     void add_recent_contents(std::vector<prompt_suspicion>& list, time_point now) const;
 
     random_source& random_;
     absl::flat_hash_map<prompt_part_id, record> records_;
     std::set<prompt_part_id> quarantined_;
+    crash_groups groups_;
+    /// Parts that entered or left the quarantine since the last look, and whether they were in it.
+    std::map<prompt_part_id, bool> changed_;
 };
 
 } // namespace jujubetide
--- a/src/node/crash_watch.cc
+++ b/src/node/crash_watch.cc
@@ -51,7 +51,6 @@
 
 void crash_watch::finish_check(const server_run_id& run, const std::vector<waiting_call>& calls,
                                bool is_crash) {
-    const std::set<prompt_part_id> before = quarantine_.quarantined();
     bool is_urgent = false;
     if (is_crash) {
         for (const waiting_call& call : calls) {
@@ -60,7 +59,7 @@
         state_.log.write(server_crashed,
                          {{"run", run.str()}, {"waiting_calls", absl::StrCat(calls.size())}});
     }
-    apply_changes(before);
+    apply_changes();
     for (const waiting_call& call : calls) {
         call.done();
     }
@@ -70,9 +69,8 @@
 }
 
 void crash_watch::on_answered(const crash_suspects& suspects) {
-    const std::set<prompt_part_id> before = quarantine_.quarantined();
     quarantine_.on_answered(suspects, state_.time.now());
-    apply_changes(before);
+    apply_changes();
 }
 
 std::optional<micros> crash_watch::refusal(const crash_suspects& suspects) {
@@ -87,37 +85,26 @@
     if (suspicions.empty()) {
         return;
     }
-    const std::set<prompt_part_id> before = quarantine_.quarantined();
     quarantine_.on_peer_suspicions(suspicions, state_.time.now());
-    apply_changes(before);
+    apply_changes();
 }
 
 void crash_watch::expire() {
-    const std::set<prompt_part_id> before = quarantine_.quarantined();
     quarantine_.expire(state_.time.now());
-    apply_changes(before);
+    apply_changes();
 }
 
-void crash_watch::apply_changes(const std::set<prompt_part_id>& before) {
-    const std::set<prompt_part_id>& current = quarantine_.quarantined();
-    if (current == before) {
-        return;
-    }
-    for (const prompt_part_id& part : before) {
-        if (!current.contains(part)) {
-            state_.log.write(prompt_part_cleared, {{"part", part.str()}});
-        }
+void crash_watch::apply_changes() {
+    const quarantine_changes changes = quarantine_.take_changes();
+    for (const prompt_part_id& part : changes.removed) {
+        state_.log.write(prompt_part_cleared, {{"part", part.str()}});
     }
-    bool has_new = false;
-    for (const prompt_part_id& part : current) {
-        if (!before.contains(part)) {
-            has_new = true;
-            state_.log.write(prompt_part_quarantined,
-                             {{"part", part.str()},
-                              {"crashes", absl::StrCat(quarantine_.separate_crashes(part))}});
-        }
+    for (const prompt_part_id& part : changes.added) {
+        state_.log.write(
+            prompt_part_quarantined,
+            {{"part", part.str()}, {"crashes", absl::StrCat(quarantine_.separate_crashes(part))}});
     }
-    if (!has_new) {
+    if (changes.added.empty()) {
         return;
     }
     const auto running = state_.running_calls;
--- a/src/node/crash_watch.h
+++ b/src/node/crash_watch.h
@@ -63,9 +63,8 @@
     /// Counts the calls as crash evidence if `is_crash`, and continues them.
     void finish_check(const server_run_id& run, const std::vector<waiting_call>& calls,
                       bool is_crash);
-    /// Logs what changed in the quarantine since `before`, and stops running calls that are blocked
-    /// now.
-    void apply_changes(const std::set<prompt_part_id>& before);
+    /// Logs what changed in the quarantine, and stops running calls that are blocked now.
+    void apply_changes();
 
     serving_state& state_;
     prompt_quarantine quarantine_;
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -35,7 +35,7 @@
 
 prompt_suspicion to_suspicion(const prompt_part_id& part,
                               const std::optional<time_point>& answered_at,
-                              const std::map<server_run_id, time_point>& crashes, time_point now) {
+                              const crash_groups::crash_times& crashes, time_point now) {
     prompt_suspicion made;
     made.part = part;
     if (answered_at) {
@@ -57,16 +57,20 @@
 } // namespace
 
 crash_suspects::crash_suspects(const std::vector<prompt_part>& parts) {
-    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-        ids_.insert(id_of(parts[i]));
-    }
+    add_parts(parts);
 }
 
-crash_suspects::crash_suspects(std::span<const prompt_part> parts, std::uint64_t content)
-    : crash_suspects(std::vector<prompt_part>(parts.begin(), parts.end())) {
+crash_suspects::crash_suspects(std::span<const prompt_part> parts, std::uint64_t content) {
+    add_parts(parts);
     ids_.insert(prompt_part_id(absl::StrCat(content_mark, absl::Hex(content))));
 }
 
+void crash_suspects::add_parts(std::span<const prompt_part> parts) {
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        ids_.insert(id_of(parts[i]));
+    }
+}
+
 bool crash_suspects::is_content(const prompt_part_id& id) {
     return id.str().starts_with(content_mark);
 }
@@ -123,15 +127,39 @@
     return records_[part];
 }
 
-void prompt_quarantine::update_quarantine(const prompt_part_id& part) {
-    record& of = records_[part];
-    if (!is_guilty(of)) {
+void prompt_quarantine::add_to_quarantine(const prompt_part_id& part, record& of) {
+    if (of.group == nullptr) {
+        quarantined_.insert(part);
+        changed_.try_emplace(part, false);
+        of.trial_offset = random_.uniform();
+    }
+    of.group = groups_.move(of.group, of.crashes);
+}
+
+void prompt_quarantine::remove_from_quarantine(const prompt_part_id& part, record& of) {
+    if (of.group != nullptr) {
         quarantined_.erase(part);
-        return;
+        changed_.try_emplace(part, true);
+        groups_.remove(std::exchange(of.group, nullptr));
     }
-    if (quarantined_.insert(part).second) {
-        of.trial_offset = random_.uniform();
+}
+
+quarantine_changes prompt_quarantine::take_changes() {
+    quarantine_changes changes;
+    for (const auto& [part, was_quarantined] : std::exchange(changed_, {})) {
+        if (was_quarantined != quarantined_.contains(part)) {
+            (was_quarantined ? changes.removed : changes.added).push_back(part);
+        }
+    }
+    return changes;
+}
+
+void prompt_quarantine::update_quarantine(const prompt_part_id& part, record& of) {
+    if (!is_guilty(of)) {
+        remove_from_quarantine(part, of);
+        return;
     }
+    add_to_quarantine(part, of);
     time_point last{};
     for (const auto& [run, at] : of.crashes) {
         last = std::max(last, at);
@@ -155,7 +183,7 @@
         if (!of.crashes.empty()) {
             of.crashes.clear();
             of.reported_until = now + report_time;
-            quarantined_.erase(part);
+            remove_from_quarantine(part, of);
         }
     }
 }
@@ -170,32 +198,30 @@
         }
         of.reported_until = now + report_time;
         concerns_unanswered = concerns_unanswered || !of.answered_at;
-        update_quarantine(part);
+        update_quarantine(part, of);
     }
     return concerns_unanswered;
 }
 
-std::vector<prompt_part_id>
+std::vector<const prompt_part_id*>
 prompt_quarantine::blocking_parts(const crash_suspects& suspects) const {
     if (quarantined_.empty()) {
         return {};
     }
-    std::vector<prompt_part_id> blocking;
+    std::vector<std::pair<const prompt_part_id*, const crash_groups::group*>> quarantined;
+    crash_groups::member_counts in_call;
     for (const prompt_part_id& part : suspects.ids()) {
-        if (!quarantined_.contains(part)) {
-            continue;
+        const auto found = records_.find(part);
+        if (found != records_.end() && found->second.group != nullptr) {
+            quarantined.emplace_back(&part, found->second.group);
+            ++in_call[found->second.group];
         }
-        const record& of = records_.at(part);
-        // Another part that was there at each of the crashes may be the cause instead.
-        const bool has_other_cause =
-            std::any_of(quarantined_.begin(), quarantined_.end(), [&](const prompt_part_id& other) {
-                const record& of_other = records_.at(other);
-                return !suspects.contains(other) &&
-                       std::all_of(of.crashes.begin(), of.crashes.end(), [&](const auto& crash) {
-                           return of_other.crashes.contains(crash.first);
-                       });
-            });
-        if (!has_other_cause) {
+    }
+    // A part that is not in the call and was there at each of the crashes may be the cause instead.
+    const crash_groups::group_set guilty = groups_.groups_without_other_suspect(in_call);
+    std::vector<const prompt_part_id*> blocking;
+    for (const auto& [part, group] : quarantined) {
+        if (guilty.contains(group)) {
             blocking.push_back(part);
         }
     }
@@ -212,16 +238,16 @@
 }
 
 std::optional<micros> prompt_quarantine::admit(const crash_suspects& suspects, time_point now) {
-    const std::vector<prompt_part_id> blocking = blocking_parts(suspects);
+    const std::vector<const prompt_part_id*> blocking = blocking_parts(suspects);
     micros wait{0};
-    for (const prompt_part_id& part : blocking) {
-        wait = std::max(wait, records_.at(part).next_trial - now);
+    for (const prompt_part_id* part : blocking) {
+        wait = std::max(wait, records_.at(*part).next_trial - now);
     }
     if (wait > micros{0}) {
         return wait;
     }
-    for (const prompt_part_id& part : blocking) {
-        records_.at(part).next_trial = now + trial_interval;
+    for (const prompt_part_id* part : blocking) {
+        records_.at(*part).next_trial = now + trial_interval;
     }
     return std::nullopt;
 }
@@ -285,7 +311,7 @@
         std::erase_if(of.crashes, [&of](const auto& crash) {
             return of.answered_at && crash.second <= *of.answered_at;
         });
-        update_quarantine(reported.part);
+        update_quarantine(reported.part, of);
     }
 }
 
@@ -296,8 +322,10 @@
         const micros lifetime = is_blocked_content ? content_evidence_lifetime : evidence_lifetime;
         std::erase_if(of.crashes,
                       [now, lifetime](const auto& crash) { return now - crash.second > lifetime; });
-        if (!is_guilty(of)) {
-            quarantined_.erase(part);
+        if (of.group != nullptr && is_guilty(of)) {
+            of.group = groups_.move(of.group, of.crashes);
+        } else {
+            remove_from_quarantine(part, of);
         }
     }
     absl::erase_if(records_, [now](const auto& item) {
--- a/tests/node/crashing_prompts_test.cc
+++ b/tests/node/crashing_prompts_test.cc
@@ -1,9 +1,11 @@
 // Engines that crash as soon as they begin to answer a call with a certain prompt part.
 #include "cluster_member.h"
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <chrono>
 
 using namespace jujubetide;
 
@@ -145,3 +147,31 @@
     }
     CHECK(fixture.calls_after_crashes() <= max_calls_after_crashes);
 }
+
+// A node spent 0.7 s on each refusal, as it compared each part of the prompt with all others.
+TEST_CASE("a node refuses long prompts that crash engines faster than they come") {
+    crashing_fixture fixture(1);
+    // As many parts as fit into a request's head.
+    std::string parts = "bad:1,";
+    constexpr int part_count = 2'539;
+    for (int i = 0; i < part_count; ++i) {
+        absl::StrAppend(&parts, absl::Hex(i, absl::kZeroPad3), ":1,");
+    }
+    constexpr int crashing_calls = 4;
+    for (int i = 1; i <= crashing_calls; ++i) {
+        (void)fixture.call(0, "/stream/", parts + "own" + std::to_string(i) + ":1");
+        run_for(fixture.loop, exchange_time);
+    }
+    const int crashes = fixture.crashes;
+    REQUIRE(crashes >= 2);
+    constexpr int calls = 40;
+    // Four calls a second, the rate of one customer.
+    constexpr std::chrono::seconds time_of_calls{10};
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 1; i <= calls; ++i) {
+        CHECK(fixture.call(0, "/stream/", parts + "later" + std::to_string(i) + ":1").head.status ==
+              503);
+    }
+    CHECK(std::chrono::steady_clock::now() - begin < time_of_calls);
+    CHECK(fixture.crashes == crashes);
+}
--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <chrono>
 
 using namespace jujubetide;
 
@@ -29,6 +30,18 @@
 const std::vector<prompt_part> bad = prompt({"shared", "bad", "own"});
 const std::vector<prompt_part> good = prompt({"shared", "good", "own"});
 
+/// As many parts as fit into a request's head, one of them `bad`, and a part of the call's own.
+std::vector<prompt_part> long_prompt(const std::string& own) {
+    constexpr int part_count = 2'539;
+    std::vector<prompt_part> parts;
+    for (int i = 0; i < part_count; ++i) {
+        parts.push_back({"part" + std::to_string(i), 1});
+    }
+    parts.push_back({"bad", 1});
+    parts.push_back({own, 1});
+    return parts;
+}
+
 struct quarantine_fixture {
     seeded_random random{1};
     prompt_quarantine quarantine{random};
@@ -268,3 +281,53 @@
     CHECK(has(prompt_part_id("bad")));
     CHECK(has(*crash_suspects({}, 7).ids().begin()));
 }
+
+// Each quarantined part of a call was compared with the whole quarantine, 0.7 s for a call.
+TEST_CASE("calls with thousands of quarantined parts are refused faster than they come") {
+    quarantine_fixture fixture;
+    for (int i = 1; i <= 4; ++i) {
+        const auto own = "own" + std::to_string(i);
+        fixture.quarantine.on_crash(run(i), crash_suspects(long_prompt(own), i), at(i * 1'000));
+    }
+    constexpr int calls = 40;
+    // Four calls a second, the rate of one customer.
+    constexpr std::chrono::seconds time_of_calls{10};
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < calls; ++i) {
+        const auto own = "later" + std::to_string(i);
+        CHECK(fixture.quarantine.admit(crash_suspects(long_prompt(own), 100 + i), at(5'000)));
+    }
+    CHECK(std::chrono::steady_clock::now() - begin < time_of_calls);
+}
+
+TEST_CASE("parts whose older evidence expired are told apart by the rest") {
+    quarantine_fixture fixture;
+    const auto early = prompt({"early", "own"});
+    const auto late = prompt({"late", "own"});
+    fixture.quarantine.on_crash(run(1), early, at(0));
+    for (int i = 2; i <= 3; ++i) {
+        fixture.quarantine.on_crash(run(i), early, at(i * 1'000));
+        fixture.quarantine.on_crash(run(i), late, at(i * 1'000));
+    }
+    CHECK(fixture.quarantine.is_blocked(early));
+    CHECK_FALSE(fixture.quarantine.is_blocked(late));
+    fixture.quarantine.expire(at(1'000) + prompt_quarantine::evidence_lifetime);
+    CHECK_FALSE(fixture.quarantine.is_blocked(early)); // Now `late` may be the cause instead.
+    CHECK(fixture.quarantine.is_blocked(prompt({"early", "late", "own"})));
+}
+
+TEST_CASE("parts that are added and removed between two looks are no changes") {
+    quarantine_fixture fixture;
+    fixture.quarantine.on_crash(run(1), bad, at(0));
+    fixture.quarantine.on_crash(run(2), bad, at(1'000));
+    CHECK(fixture.quarantine.take_changes().added ==
+          std::vector{prompt_part_id("bad"), prompt_part_id("shared")});
+    fixture.quarantine.on_answered(good, at(2'000));
+    fixture.quarantine.on_crash(run(3), prompt({"new", "own"}), at(3'000));
+    fixture.quarantine.on_crash(run(4), prompt({"new", "own"}), at(4'000));
+    fixture.quarantine.on_answered(prompt({"new", "own"}), at(5'000));
+    const quarantine_changes changes = fixture.quarantine.take_changes();
+    CHECK(changes.added.empty());
+    CHECK(changes.removed == std::vector{prompt_part_id("shared")});
+    CHECK(fixture.quarantine.take_changes().removed.empty());
+}
