A crash of engines where long prompts wait no longer holds up a node

Cause: with 8,192 parts remembered, `prompt_quarantine::insert` searched all of them, twice, for each new part, and found nothing to drop where they had evidence.

Change: parts without evidence are in a list, the one that a call had longest ago first; a new part drops up to two from its front. Parts that calls still have stay longer than before; evidence is kept as before. The limit on parts is the same.

--- a/include/jujubetide/serving/prompt_quarantine.h
+++ b/include/jujubetide/serving/prompt_quarantine.h
@@ -9,6 +9,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <list>
 #include <map>
 #include <optional>
 #include <set>
@@ -85,7 +86,8 @@
     static constexpr micros evidence_lifetime{1'200'000'000};
     /// The same for a content that is blocked: longer than the time between its trials.
     static constexpr micros content_evidence_lifetime{2 * 3'600'000'000LL};
-    /// Parts that are remembered; of those without evidence, the oldest are dropped.
+    /// Parts that are remembered; of those without evidence, the ones that calls had longest ago
+    /// are dropped. Evidence may exceed this until it expires.
     static constexpr std::size_t max_parts = 8'192;
     /// Time between two trials.
     static constexpr micros trial_interval{5'000'000};
@@ -131,6 +133,8 @@
         crash_groups::crash_times crashes;
         /// Set if the part is quarantined.
         const crash_groups::group* group = nullptr;
+        /// In `without_evidence_`; absent if there are crashes.
+        std::optional<std::list<prompt_part_id>::iterator> place;
         /// Peers are told until then, unless the part is quarantined.
         time_point reported_until{};
         time_point next_trial{};
@@ -143,7 +147,12 @@
     void update_quarantine(const prompt_part_id& part, record& of);
     void add_to_quarantine(const prompt_part_id& part, record& of);
     void remove_from_quarantine(const prompt_part_id& part, record& of);
-    record& insert(const prompt_part_id& part, time_point now);
+    record& insert(const prompt_part_id& part);
+    /// Makes room for one part more.
+    void drop_oldest_without_evidence();
+    /// Puts a part without evidence behind the others, and takes one with evidence from among them.
+    void update_place(const prompt_part_id& part, record& of);
+    void expire_crashes(const prompt_part_id& part, record& of, time_point now);
     /// The parts of a prompt that block a call with it. They belong to `suspects`.
     [[nodiscard]] std::vector<const prompt_part_id*>
     blocking_parts(const crash_suspects& suspects) const;
@@ -152,6 +161,8 @@
 
     random_source& random_;
     absl::flat_hash_map<prompt_part_id, record> records_;
+    /// Parts without crashes, the one that a call had longest ago first.
+    std::list<prompt_part_id> without_evidence_;
     std::set<prompt_part_id> quarantined_;
     crash_groups groups_;
     /// Parts that entered or left the quarantine since the last look, and whether they were in it.
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -20,8 +20,9 @@
 constexpr std::size_t max_reported = 32;
 /// Crashes remembered for one part.
 constexpr std::size_t max_crashes = 32;
-/// Answers older than this are dropped first when there are too many parts.
-constexpr micros recent_answer{30'000'000};
+/// Parts dropped for each new one while there are too many: more than one, as evidence may have
+/// exceeded the limit.
+constexpr int dropped_per_part = 2;
 /// First character of a content's id; a caller's id with it is replaced by its hash.
 constexpr const char* content_mark = "=";
 /// Nodes spread their first trials over this fraction of the quarantine time.
@@ -114,19 +115,36 @@
     return found == records_.end() ? 0 : count_separate(found->second);
 }
 
-prompt_quarantine::record& prompt_quarantine::insert(const prompt_part_id& part, time_point now) {
+prompt_quarantine::record& prompt_quarantine::insert(const prompt_part_id& part) {
     if (records_.size() >= max_parts && !records_.contains(part)) {
-        absl::erase_if(records_, [now](const auto& item) {
-            return item.second.crashes.empty() &&
-                   now - item.second.answered_at.value_or(time_point{}) > recent_answer;
-        });
-        if (records_.size() >= max_parts) {
-            absl::erase_if(records_, [](const auto& item) { return item.second.crashes.empty(); });
-        }
+        drop_oldest_without_evidence();
     }
     return records_[part];
 }
 
+void prompt_quarantine::drop_oldest_without_evidence() {
+    for (int i = 0; i < dropped_per_part && records_.size() >= max_parts; ++i) {
+        if (without_evidence_.empty()) {
+            return;
+        }
+        records_.erase(without_evidence_.front());
+        without_evidence_.pop_front();
+    }
+}
+
+void prompt_quarantine::update_place(const prompt_part_id& part, record& of) {
+    if (!of.crashes.empty()) {
+        if (of.place) {
+            without_evidence_.erase(*of.place);
+            of.place.reset();
+        }
+    } else if (of.place) {
+        without_evidence_.splice(without_evidence_.end(), without_evidence_, *of.place);
+    } else {
+        of.place = without_evidence_.insert(without_evidence_.end(), part);
+    }
+}
+
 void prompt_quarantine::add_to_quarantine(const prompt_part_id& part, record& of) {
     if (of.group == nullptr) {
         quarantined_.insert(part);
@@ -178,13 +196,14 @@
         if (crash_suspects::is_content(part) && !records_.contains(part)) {
             continue;
         }
-        record& of = insert(part, now);
+        record& of = insert(part);
         of.answered_at = now;
         if (!of.crashes.empty()) {
             of.crashes.clear();
             of.reported_until = now + report_time;
             remove_from_quarantine(part, of);
         }
+        update_place(part, of);
     }
 }
 
@@ -192,12 +211,13 @@
                                  time_point now) {
     bool concerns_unanswered = false;
     for (const prompt_part_id& part : suspects.ids()) {
-        record& of = insert(part, now);
+        record& of = insert(part);
         if (of.crashes.size() >= max_crashes || !of.crashes.emplace(run, now).second) {
             continue;
         }
         of.reported_until = now + report_time;
         concerns_unanswered = concerns_unanswered || !of.answered_at;
+        update_place(part, of);
         update_quarantine(part, of);
     }
     return concerns_unanswered;
@@ -294,7 +314,7 @@
 void prompt_quarantine::on_peer_suspicions(std::span<const prompt_suspicion> suspicions,
                                            time_point now) {
     for (const prompt_suspicion& reported : suspicions) {
-        record& of = insert(reported.part, now);
+        record& of = insert(reported.part);
         if (reported.since_answer) {
             const time_point answered_at = now - *reported.since_answer;
             of.answered_at = std::max(of.answered_at.value_or(answered_at), answered_at);
@@ -311,27 +331,38 @@
         std::erase_if(of.crashes, [&of](const auto& crash) {
             return of.answered_at && crash.second <= *of.answered_at;
         });
+        update_place(reported.part, of);
         update_quarantine(reported.part, of);
     }
 }
 
 void prompt_quarantine::expire(time_point now) {
     for (auto& [part, of] : records_) {
-        const bool is_blocked_content =
-            crash_suspects::is_content(part) && quarantined_.contains(part);
-        const micros lifetime = is_blocked_content ? content_evidence_lifetime : evidence_lifetime;
-        std::erase_if(of.crashes,
-                      [now, lifetime](const auto& crash) { return now - crash.second > lifetime; });
-        if (of.group != nullptr && is_guilty(of)) {
-            of.group = groups_.move(of.group, of.crashes);
-        } else {
-            remove_from_quarantine(part, of);
+        if (!of.crashes.empty()) {
+            expire_crashes(part, of, now);
         }
     }
-    absl::erase_if(records_, [now](const auto& item) {
-        return item.second.crashes.empty() &&
-               now - item.second.answered_at.value_or(time_point{}) > evidence_lifetime;
+    std::erase_if(without_evidence_, [this, now](const prompt_part_id& part) {
+        const auto found = records_.find(part);
+        if (now - found->second.answered_at.value_or(time_point{}) <= evidence_lifetime) {
+            return false;
+        }
+        records_.erase(found);
+        return true;
     });
 }
 
+void prompt_quarantine::expire_crashes(const prompt_part_id& part, record& of, time_point now) {
+    const bool is_blocked_content = crash_suspects::is_content(part) && of.group != nullptr;
+    const micros lifetime = is_blocked_content ? content_evidence_lifetime : evidence_lifetime;
+    std::erase_if(of.crashes,
+                  [now, lifetime](const auto& crash) { return now - crash.second > lifetime; });
+    if (of.group != nullptr && is_guilty(of)) {
+        of.group = groups_.move(of.group, of.crashes);
+    } else {
+        remove_from_quarantine(part, of);
+    }
+    update_place(part, of);
+}
+
 } // namespace jujubetide
--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -331,3 +331,64 @@
     CHECK(changes.removed == std::vector{prompt_part_id("shared")});
     CHECK(fixture.quarantine.take_changes().removed.empty());
 }
+
+// While there were too many parts, each new one was searched for in all.
+TEST_CASE("evidence against tens of thousands of parts is taken in at once") {
+    quarantine_fixture fixture;
+    constexpr int calls = 30;
+    constexpr int parts_of_call = 1'667;
+    std::vector<crash_suspects> waiting;
+    for (int i = 0; i < calls; ++i) {
+        std::vector<std::string> ids;
+        ids.reserve(parts_of_call + 1);
+        for (int j = 0; j <= parts_of_call; ++j) {
+            ids.push_back("part" + std::to_string(i) + "-" + std::to_string(j));
+        }
+        waiting.emplace_back(prompt(ids));
+    }
+    // The other calls' answers may be late by no more than this.
+    constexpr millis bound{1'200};
+    const auto begin = std::chrono::steady_clock::now();
+    for (const crash_suspects& suspects : waiting) {
+        CHECK(fixture.quarantine.on_crash(run(1), suspects, at(0)));
+    }
+    CHECK(std::chrono::steady_clock::now() - begin < bound);
+    CHECK(fixture.quarantine.is_suspected(waiting.front()));
+    CHECK(fixture.quarantine.is_suspected(waiting.back()));
+}
+
+TEST_CASE("of too many answered parts, those that calls still have are remembered") {
+    quarantine_fixture fixture;
+    const auto used = prompt({"used", "own"});
+    for (int i = 0; i < 20'000; ++i) {
+        fixture.quarantine.on_answered(prompt({"part" + std::to_string(i), "own"}), at(i));
+        if (i % 1'000 == 0) {
+            fixture.quarantine.on_answered(used, at(i));
+        }
+    }
+    fixture.quarantine.on_crash(run(1), used, at(20'000));
+    fixture.quarantine.on_crash(run(2), used, at(21'000));
+    CHECK_FALSE(fixture.quarantine.is_blocked(used)); // Answered before: needs three crashes.
+    const auto forgotten = prompt({"part0", "own"});
+    fixture.quarantine.on_crash(run(1), forgotten, at(20'000));
+    fixture.quarantine.on_crash(run(2), forgotten, at(21'000));
+    CHECK(fixture.quarantine.is_blocked(forgotten));
+}
+
+TEST_CASE("answered parts are forgotten once evidence takes their place, evidence is not") {
+    quarantine_fixture fixture;
+    const auto answered = prompt({"answered", "own"});
+    fixture.quarantine.on_answered(answered, at(0));
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i <= 2 * prompt_quarantine::max_parts; ++i) {
+        ids.push_back("part" + std::to_string(i));
+    }
+    fixture.quarantine.on_crash(run(1), prompt(ids), at(1'000));
+    fixture.quarantine.on_crash(run(2), prompt(ids), at(2'000));
+    CHECK(fixture.quarantine.quarantined().size() == 2 * prompt_quarantine::max_parts);
+    fixture.quarantine.on_crash(run(1), answered, at(1'000));
+    fixture.quarantine.on_crash(run(2), answered, at(2'000));
+    CHECK(fixture.quarantine.separate_crashes(prompt_part_id("answered")) ==
+          prompt_quarantine::min_crashes);
+    CHECK(fixture.quarantine.quarantined().contains(prompt_part_id("answered")));
+}
