--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -34,6 +34,7 @@
 std::vector<prompt_part> long_prompt(const std::string& own) {
     constexpr int part_count = 2'539;
     std::vector<prompt_part> parts;
+    parts.reserve(part_count + 2);
     for (int i = 0; i < part_count; ++i) {
         parts.push_back({"part" + std::to_string(i), 1});
     }
